--- a/src/lycheestair/messages.py
+++ b/src/lycheestair/messages.py
@@ -237,20 +237,16 @@
     ]
 
 
-def read_head(reader: MessageReader, limit: int) -> Head:
-    """Reads start line and headers.
+def parse_head(data: bytes) -> Head:
+    """Parses start line and headers.
 
     Args:
-      reader: Positioned at the start of a message.
-      limit: Size limit in bytes for the whole head.
+      data: Head with the empty line that ends it.
 
     Raises:
-      IncompleteMessageError: The connection ended.
-      MalformedMessageError: The head is malformed or too large.
-      TimeoutError: The deadline of the reader passed.
+      MalformedMessageError: A header line is malformed.
     """
-    head = reader.read_until(b"\r\n\r\n", limit, False)
-    start, _, fields = head[:-2].partition(b"\r\n")
+    start, _, fields = data[:-2].partition(b"\r\n")
     if _FIELDS.fullmatch(fields) is None:
         raise MalformedMessageError("malformed header line")
     return Head(
@@ -262,6 +258,33 @@
     )
 
 
+def parse_chunk_length(line: bytes) -> int:
+    """Returns the length of a chunk from its size line.
+
+    Raises:
+      MalformedMessageError: The line is malformed.
+    """
+    match = _CHUNK_LINE.fullmatch(line)
+    if match is None:
+        raise MalformedMessageError("malformed chunk")
+    return int(match[1], 16)
+
+
+def read_head(reader: MessageReader, limit: int) -> Head:
+    """Reads start line and headers.
+
+    Args:
+      reader: Positioned at the start of a message.
+      limit: Size limit in bytes for the whole head.
+
+    Raises:
+      IncompleteMessageError: The connection ended.
+      MalformedMessageError: The head is malformed or too large.
+      TimeoutError: The deadline of the reader passed.
+    """
+    return parse_head(reader.read_until(b"\r\n\r\n", limit, False))
+
+
 def find_framing(headers: list[Header]) -> int | None:
     """Returns the length of the body, -1 if chunked, None if not given.
 
@@ -309,10 +332,7 @@
     total = 0
     while True:
         line = reader.read_until(b"\r\n", MAX_CHUNK_LINE_BYTES, True)
-        match = _CHUNK_LINE.fullmatch(line)
-        if match is None:
-            raise MalformedMessageError("malformed chunk")
-        length = int(match[1], 16)
+        length = parse_chunk_length(line)
         if length == 0:
             break
         total += length
--- /dev/null
+++ b/src/lycheestair/platform/documents.py
@@ -0,0 +1,126 @@
+"""Decodes and encodes the documents that the platform's store holds."""
+
+from collections.abc import Iterator
+from typing import Any
+from typing import Final
+
+from lycheestair import ids
+from lycheestair.sidecar import catalog
+from lycheestair.sidecar import rollout
+from lycheestair.sidecar import store
+
+KINDS: Final = store.Kinds(
+    configuration="config", rollouts="rollouts", nodes="lycheestair-nodes"
+)
+
+_SAFE: Final = "safe"
+_STATES: Final = {
+    "running": rollout.RolloutState.RUNNING,
+    "completed": rollout.RolloutState.COMPLETED,
+    "rolled_back": rollout.RolloutState.ROLLED_BACK,
+}
+_STATE_NAMES: Final = {state: name for name, state in _STATES.items()}
+_DEFAULT_MAX_CONNECTIONS: Final = 100
+
+
+class DocumentCodec:
+    """Implements store.DocumentCodec."""
+
+    def decode_catalog(self, item: store.StoredItem) -> catalog.Catalog:
+        """Implements store.DocumentCodec."""
+        document = item.value
+        try:
+            version = document["version"]
+            if not isinstance(version, str) or version[:1] != "r":
+                raise ValueError(f"version {version!r}")
+            limits = document["limits"]
+            routes = {
+                route.name: route
+                for listener in document["listeners"]
+                for route in _decode_listener(listener)
+            }
+            services = {
+                cluster["name"]: catalog.ServiceLimits(
+                    ids.ServiceName(cluster["name"]),
+                    int(
+                        cluster.get(
+                            "connection_limit", _DEFAULT_MAX_CONNECTIONS
+                        )
+                    ),
+                )
+                for cluster in document["clusters"]
+            }
+            return catalog.Catalog(
+                ids.Generation(int(version[1:])),
+                routes,
+                services,
+                catalog.ClientLimits(
+                    int(limits["max_header_bytes"]),
+                    int(limits["max_body_bytes"]),
+                    float(limits["header_timeout_s"]),
+                    float(limits["idle_timeout_s"]),
+                ),
+            )
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise store.DocumentError(
+                f"configuration {item.name}: {error!r}"
+            ) from error
+
+    def decode_rollout(self, item: store.StoredItem) -> rollout.Rollout:
+        """Implements store.DocumentCodec."""
+        try:
+            order = item.value
+            target = str(order["target_version"])
+            status = item.status if isinstance(item.status, dict) else {}
+            # The status of an earlier order says nothing of this one.
+            state = (
+                _STATES.get(status.get("state", ""))
+                if status.get("target_version") == target
+                else None
+            )
+            return rollout.Rollout(
+                ids.ServiceName(str(order["service"])),
+                ids.VersionName(target),
+                float(order["duration_s"]),
+                state or rollout.RolloutState.ORDERED,
+                item.revision,
+                item.created,
+            )
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise store.DocumentError(
+                f"rollout {item.name}: {error!r}"
+            ) from error
+
+    def encode_rollout_status(
+        self, target: ids.VersionName, state: rollout.RolloutState
+    ) -> Any:
+        """Implements store.DocumentCodec."""
+        return {"state": _STATE_NAMES[state], "target_version": target}
+
+
+def _decode_listener(listener: dict[str, Any]) -> Iterator[catalog.Route]:
+    host = str(listener["host"])
+    for rule in listener["routing_rules"]:
+        action = rule["action"]
+        split = action.get("traffic_split") or [
+            {"service": action["service"], "weight": 1}
+        ]
+        yield catalog.Route(
+            name=ids.RouteName(str(rule["name"])),
+            host=host,
+            path_prefix=str(rule["match"]["path_prefix"]),
+            split=tuple(
+                catalog.ServiceWeight(
+                    ids.ServiceName(str(part["service"])), int(part["weight"])
+                )
+                for part in split
+            ),
+            idempotent=rule["kind"] == _SAFE,
+            timeout_s=float(action["timeout_s"]),
+            # Named latency target on the platform.
+            objective_s=float(
+                rule.get("target_latency_s") or action["timeout_s"]
+            ),
+            max_attempts=int(action.get("max_attempts", 1)),
+            priority=int(rule.get("priority", 0)),
+        )
--- /dev/null
+++ b/src/lycheestair/platform/objects.py
@@ -0,0 +1,199 @@
+"""Client of the platform's object store."""
+
+import asyncio
+from typing import Any
+from typing import Final
+import urllib.parse
+
+import orjson
+
+from lycheestair import ids
+from lycheestair import messages
+from lycheestair.sidecar import http1
+from lycheestair.sidecar import store
+from lycheestair.sidecar import streams
+
+_CALL_TIMEOUT_S: Final = 1.5  # Several times a slow answer of a healthy store.
+_CONNECT_TIMEOUT_S: Final = 1.0
+# An answer to a watch may come this much after its waiting time.
+_WATCH_SLACK_S: Final = 1.0
+_MAX_PAGES: Final = 1_000
+
+
+class ObjectStore:
+    """Implements store.MetadataStore.
+
+    Attributes:
+      calls: Calls made, including refused ones.
+    """
+
+    def __init__(self, address: ids.Address):
+        self.calls = 0
+        self._address = address
+        self._idle: list[streams.Stream] = []
+
+    async def list(self, kind: str) -> store.Listing:
+        """Implements store.MetadataStore."""
+        items: list[store.StoredItem] = []
+        after = ""
+        revision = 0
+        for _ in range(_MAX_PAGES):
+            query = f"?after={urllib.parse.quote(after)}" if after else ""
+            _, document = await self._call("GET", f"/{kind}{query}")
+            page = [_decode(item) for item in document.get("items") or ()]
+            items.extend(page)
+            # Pages may be of different revisions; changes after the first
+            # one are all in the watch that continues it.
+            revision = revision or int(document["at"])
+            if not document.get("has_more") or not page:
+                break
+            after = page[-1].name
+        return store.Listing(items, revision)
+
+    async def watch(
+        self, kind: str, revision: int, wait_s: float
+    ) -> store.Listing:
+        """Implements store.MetadataStore."""
+        status, document = await self._call(
+            "GET",
+            f"/{kind}?watch={revision}&wait_ms={int(wait_s * 1000)}",
+            timeout_s=wait_s + _WATCH_SLACK_S,
+        )
+        if status == 410:
+            raise store.HistoryLostError(f"{kind} after {revision}")
+        return store.Listing(
+            [
+                _decode(event["object"], bool(event.get("deleted")))
+                for event in document.get("events") or ()
+            ],
+            int(document["at"]),
+        )
+
+    async def put(
+        self, kind: str, name: str, value: Any, revision: int
+    ) -> store.StoredItem | store.Conflict:
+        """Implements store.MetadataStore."""
+        body: dict[str, Any] = {
+            "metadata": {"name": name},
+            "specification": value,
+        }
+        if not revision:
+            return await self._write("POST", f"/{kind}", body)
+        body["metadata"]["revision"] = revision
+        return await self._write("PUT", _path(kind, name), body)
+
+    async def put_status(
+        self, kind: str, name: str, status: Any, revision: int
+    ) -> store.StoredItem | store.Conflict:
+        """Implements store.MetadataStore."""
+        body = {
+            "metadata": {"name": name, "revision": revision},
+            "status": status,
+        }
+        return await self._write("PUT", f"{_path(kind, name)}/status", body)
+
+    async def delete(self, kind: str, name: str, revision: int) -> None:
+        """Implements store.MetadataStore."""
+        await self._call("DELETE", f"{_path(kind, name)}?revision={revision}")
+
+    async def _write(
+        self, method: str, path: str, body: dict[str, Any]
+    ) -> store.StoredItem | store.Conflict:
+        status, document = await self._call(method, path, orjson.dumps(body))
+        if status in (404, 409):
+            try:
+                return store.Conflict(_decode(document))
+            except store.StoreUnavailableError:
+                return store.Conflict(None)
+        return _decode(document)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float = _CALL_TIMEOUT_S,
+    ) -> tuple[int, dict[str, Any]]:
+        """Returns status and document of an answer below 500."""
+        self.calls += 1
+        stream = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                stream = await self._check_out()
+                stream.write(
+                    http1.encode_request(
+                        method.encode(),
+                        f"/-/objects{path}".encode(),
+                        [
+                            (b"host", self._address.encode()),
+                            (b"content-type", b"application/json"),
+                        ],
+                        body,
+                    )
+                )
+                answer = await http1.read_answer(stream, method.encode())
+        except (
+            OSError,
+            messages.BodyTooLargeError,
+            messages.IncompleteMessageError,
+            messages.MalformedMessageError,
+        ) as error:
+            if stream is not None:
+                stream.abort()
+            raise store.StoreUnavailableError(
+                f"{method} {path}: {error!r}"
+            ) from error
+        except asyncio.CancelledError:
+            if stream is not None:
+                stream.abort()
+            raise
+        if answer.keep:
+            self._idle.append(stream)
+        else:
+            stream.close()
+        if answer.status == 429 or answer.status >= 500:
+            raise store.StoreUnavailableError(
+                f"{method} {path}: status {answer.status}"
+            )
+        try:
+            document = orjson.loads(answer.body) if answer.body else {}
+        except orjson.JSONDecodeError as error:
+            raise store.StoreUnavailableError(
+                f"{method} {path}: answer is not JSON"
+            ) from error
+        if not isinstance(document, dict):
+            raise store.StoreUnavailableError(f"{method} {path}: no object")
+        if answer.status >= 400 and answer.status not in (404, 409, 410):
+            raise store.StoreUnavailableError(
+                f"{method} {path}: status {answer.status}"
+            )
+        return answer.status, document
+
+    async def _check_out(self) -> streams.Stream:
+        while self._idle:
+            stream = self._idle.pop()
+            if not stream.ended and not stream.buffered:
+                return stream
+            stream.close()
+        return await streams.connect(self._address, _CONNECT_TIMEOUT_S)
+
+
+def _path(kind: str, name: str) -> str:
+    return f"/{kind}/{urllib.parse.quote(name, safe='')}"
+
+
+def _decode(document: Any, deleted: bool = False) -> store.StoredItem:
+    try:
+        metadata = document["metadata"]
+        return store.StoredItem(
+            name=str(metadata["name"]),
+            revision=int(metadata["revision"]),
+            created=int(metadata.get("creation_revision") or 0),
+            value=document.get("specification"),
+            status=document.get("status"),
+            deleted=deleted,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise store.StoreUnavailableError(
+            f"answer is not a stored object: {error!r}"
+        ) from error
--- /dev/null
+++ b/src/lycheestair/platform/requests.py
@@ -0,0 +1,93 @@
+"""Names of headers, and the calls that reach a node from outside."""
+
+from typing import Any
+from typing import Final
+import urllib.parse
+
+import orjson
+
+from lycheestair import ids
+from lycheestair.sidecar import backend
+from lycheestair.sidecar import http1
+
+HEADERS: Final = backend.HeaderNames(
+    request_id=b"x-request-id",
+    deadline_ms=b"x-deadline-ms",
+    instance=b"x-expected-instance",
+    caller=b"x-caller-service",
+    not_run=b"x-not-executed",
+    proof=b"x-server-stamp",
+    load=b"x-server-load",
+)
+READINESS_PATH: Final = "/-/readiness"
+
+_CALL_PATH: Final = "/-/rpc"
+_HEARTBEAT: Final = "instances.heartbeat"
+_DEREGISTER: Final = "instances.deregister"
+_STATES: Final = {
+    "ready": backend.BackendState.SERVING,
+    "draining": backend.BackendState.DRAINING,
+}
+
+
+class AnnouncementError(ValueError):
+    """The call does not announce a backend server."""
+
+
+def decode_announcement(request: http1.Request) -> backend.Announcement:
+    """Decodes a heartbeat or a deregistration.
+
+    Raises:
+      AnnouncementError: It is another call or malformed.
+    """
+    path, _, query = request.target.decode("latin-1").partition("?")
+    fields = dict(urllib.parse.parse_qsl(query))
+    call = fields.get("call")
+    instance = fields.get("of", "")
+    if path != _CALL_PATH or request.method != b"POST" or not instance:
+        raise AnnouncementError("unknown call")
+    if call == _DEREGISTER:
+        return backend.Announcement(
+            instance,
+            backend.BackendState.GONE,
+            started_ms=_find_start(request.body),
+        )
+    if call != _HEARTBEAT:
+        raise AnnouncementError("unknown call")
+    return _decode_heartbeat(instance, request.body)
+
+
+def _find_start(body: bytes) -> int:
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return 0
+    started = document.get("born") if isinstance(document, dict) else None
+    return started if isinstance(started, int) else 0
+
+
+def _decode_heartbeat(instance: str, body: bytes) -> backend.Announcement:
+    try:
+        document = orjson.loads(body)
+        information = document["information"]
+        status = document["status"]
+        return backend.Announcement(
+            instance=instance,
+            state=_STATES[status["state"]],
+            # The platform's word for the start of an incarnation.
+            started_ms=_check(document.get("born", 0), int),
+            sequence=_check(status["sequence"], int),
+            address=ids.Address(_check(document["address"], str)),
+            service=ids.ServiceName(_check(information["service"], str)),
+            version=ids.VersionName(_check(information["version"], str)),
+            slots=_check(information["slots"], int),
+            cold_s=float(_check(status.get("cold_remaining_s", 0), int, float)),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise AnnouncementError(f"malformed heartbeat: {error!r}") from error
+
+
+def _check(value: Any, *types: type) -> Any:
+    if not isinstance(value, types) or isinstance(value, bool):
+        raise TypeError(f"{value!r} is of another type")
+    return value
--- /dev/null
+++ b/src/lycheestair/sidecar/entry.py
@@ -0,0 +1,426 @@
+"""The entry node: from a client's request to its one answer."""
+
+import asyncio
+import contextlib
+import random
+from typing import Final
+
+import orjson
+
+from lycheestair import errors
+from lycheestair import ids
+from lycheestair import messages
+from lycheestair.sidecar import backend
+from lycheestair.sidecar import budget
+from lycheestair.sidecar import calls
+from lycheestair.sidecar import catalog as catalog_lib
+from lycheestair.sidecar import clock
+from lycheestair.sidecar import gossip as gossip_lib
+from lycheestair.sidecar import http1
+from lycheestair.sidecar import journal
+from lycheestair.sidecar import members
+from lycheestair.sidecar import serving
+from lycheestair.sidecar import settings as settings_lib
+from lycheestair.sidecar import streams
+from lycheestair.sidecar import versions as versions_lib
+
+FIRST_SERVER_ERROR: Final = 500
+# Serving nodes that are asked for one request; a refusal by a node costs no
+# work, but the request waits meanwhile.
+MAX_OFFERS: Final = 4
+# The answer has to reach the client before it stops waiting.
+ANSWER_MARGIN_S: Final = 0.02
+# What a request costs on a way beside its time, as milliseconds of waiting:
+# links between regions are paid by volume.
+ZONE_COST_MS: Final = 25.0
+REGION_COST_MS: Final = 250.0
+REGION_ROUND_TRIP_MS: Final = 45.0
+FAILURE_COST_MS: Final = 800.0
+# Time in seconds after which a client that was refused should come back if
+# nothing is known of the queues.
+DEFAULT_RETRY_AFTER_S: Final = 0.3
+DEFAULT_DEADLINE_S: Final = 30.0
+# Loads within this are alike; one of them is chosen at random, so that all
+# nodes don't choose the same.
+SPREAD_MS: Final = 5.0
+
+_CLIENT_ERRORS: Final = frozenset({400, 404, 413})
+
+
+class EntryNode:
+    """Answers clients and the backend server's own calls."""
+
+    def __init__(
+        self,
+        settings: settings_lib.SidecarSettings,
+        headers: backend.HeaderNames,
+        table: members.MemberTable,
+        gossip: gossip_lib.Gossip,
+        planner: versions_lib.VersionPlanner,
+        server: serving.ServingNode,
+        log: journal.Journal,
+    ):
+        self.in_progress = 0
+        self._settings = settings
+        self._headers = headers
+        self._table = table
+        self._gossip = gossip
+        self._planner = planner
+        self._server = server
+        self._log = log
+        self._budgets = budget.RetryBudgets(settings.bounds, table)
+        self._connections: set[streams.Stream] = set()
+        self._idle: set[streams.Stream] = set()
+
+    # Connections.
+
+    async def serve(self, stream: streams.Stream) -> None:
+        """Answers the requests of one connection until it ends."""
+        self._connections.add(stream)
+        try:
+            while await self._serve_one(stream):
+                pass
+        except (
+            messages.IncompleteMessageError,
+            OSError,
+        ):
+            return  # The client closed the connection or was too slow.
+        finally:
+            self._connections.discard(stream)
+            self._idle.discard(stream)
+
+    async def _serve_one(self, stream: streams.Stream) -> bool:
+        limits = self._gossip.catalog.limits
+        if not stream.buffered:
+            self._idle.add(stream)
+            try:
+                async with asyncio.timeout(limits.idle_timeout_s):
+                    await stream.fill(False)
+            finally:
+                self._idle.discard(stream)
+        try:
+            async with asyncio.timeout(
+                max(limits.header_timeout_s, limits.idle_timeout_s)
+            ):
+                request = await http1.read_request(
+                    stream, limits.max_header_bytes, limits.max_body_bytes
+                )
+        except messages.MalformedMessageError as error:
+            return await self._reject(
+                stream, errors.ErrorKind.BAD_REQUEST, str(error)
+            )
+        except messages.BodyTooLargeError as error:
+            return await self._reject(
+                stream, errors.ErrorKind.BODY_TOO_LARGE, str(error)
+            )
+        self.in_progress += 1
+        try:
+            answer = await self._answer_while_connected(stream, request)
+            if answer is None:
+                return False
+            keep = request.keep and not self._gossip.leaving
+            stream.write(http1.encode_answer(answer, request.method, keep))
+            await stream.drain()
+            return keep
+        finally:
+            self.in_progress -= 1
+
+    async def _answer_while_connected(
+        self, stream: streams.Stream, request: http1.Request
+    ) -> http1.Answer | None:
+        """Returns the answer; None once the client has left."""
+        task = asyncio.get_running_loop().create_task(self.answer(request))
+        stream.on_end = task.cancel
+        if stream.ended:
+            task.cancel()
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if not stream.ended:
+                raise
+            self._log.write(
+                "client left",
+                id=_read_text(request, self._headers.request_id),
+            )
+            return None
+        finally:
+            stream.on_end = None
+
+    async def _reject(
+        self, stream: streams.Stream, kind: errors.ErrorKind, detail: str
+    ) -> bool:
+        self._log.write("request rejected", kind=kind.value, detail=detail)
+        stream.write(
+            http1.encode_answer(
+                _encode_refusal(calls.Refusal(kind, detail)), b"", False
+            )
+        )
+        await stream.drain()
+        return False
+
+    def close_idle(self) -> None:
+        """Closes connections on which no request is in progress."""
+        for stream in list(self._idle):
+            if not stream.buffered:
+                stream.close()
+
+    # Requests.
+
+    async def answer(self, request: http1.Request) -> http1.Answer:
+        """Returns the backend server's answer or one refusal."""
+        arrived = clock.read_s()
+        request_id = request.find(self._headers.request_id) or b""
+        catalog = self._gossip.catalog
+        route = None
+        tried: list[str] = []
+        outcome: calls.Outcome
+        if not catalog.generation:
+            outcome = calls.Refusal(errors.ErrorKind.NOT_READY)
+        else:
+            route = catalog.match(request.host, request.path)
+            if route is None:
+                outcome = calls.Refusal(errors.ErrorKind.NO_ROUTE)
+            else:
+                call = self._start_call(request, request_id, route, arrived)
+                outcome = await self._run(call, route, tried)
+        self._log_outcome(request_id, catalog, route, outcome, arrived, tried)
+        if isinstance(outcome, http1.Answer):
+            return http1.Answer(
+                outcome.status,
+                messages.select_end_to_end(outcome.headers),
+                outcome.body,
+            )
+        answer = _encode_refusal(outcome)
+        if request_id:
+            answer.headers.append((self._headers.request_id, request_id))
+        return answer
+
+    def _log_outcome(
+        self,
+        request_id: bytes,
+        catalog: catalog_lib.Catalog,
+        route: catalog_lib.Route | None,
+        outcome: calls.Outcome,
+        arrived: float,
+        tried: list[str],
+    ) -> None:
+        fields: dict[str, object]
+        if isinstance(outcome, http1.Answer):
+            fields = {"status": outcome.status}
+        else:
+            fields = {
+                "kind": outcome.kind.value,
+                "detail": outcome.detail,
+                "retry_after_s": round(outcome.retry_after_s, 2),
+            }
+        self._log.write(
+            "request answered"
+            if isinstance(outcome, http1.Answer)
+            else "request refused",
+            id=request_id.decode("latin-1"),
+            route=route.name if route else None,
+            generation=catalog.generation,
+            tried=tried,
+            taken_ms=int((clock.read_s() - arrived) * 1000),
+            **fields,
+        )
+
+    def _start_call(
+        self,
+        request: http1.Request,
+        request_id: bytes,
+        route: catalog_lib.Route,
+        arrived: float,
+    ) -> calls.Call:
+        wait_s = DEFAULT_DEADLINE_S
+        with contextlib.suppress(ValueError):
+            # A missing or malformed value leaves the route's own limit.
+            wait_s = int(request.find(self._headers.deadline_ms) or b"") / 1000
+        return calls.Call(
+            request_id=request_id,
+            method=request.method,
+            target=request.target,
+            headers=messages.select_end_to_end(request.headers),
+            body=request.body,
+            caller=self._settings.service,
+            route=route.name,
+            service=_choose_service(route),
+            version=ids.VersionName(""),
+            instance="",
+            idempotent=route.idempotent,
+            priority=route.priority,
+            deadline=arrived
+            + min(wait_s - ANSWER_MARGIN_S, route.timeout_s),
+            objective=arrived + route.objective_s,
+        )
+
+    async def _run(
+        self, call: calls.Call, route: catalog_lib.Route, tried: list[str]
+    ) -> calls.Outcome:
+        """Makes attempts until one counts as the outcome."""
+        retries = self._budgets.find(call.service)
+        retries.add_request()
+        reached = 0
+        last: calls.Outcome | None = None
+        excluded: set[ids.NodeId] = set()
+        while len(tried) < MAX_OFFERS:
+            member = self._choose(call, excluded)
+            if member is None or call.remaining_s <= 0:
+                break
+            node_id = member.record.node_id
+            tried.append(node_id)
+            excluded.add(node_id)
+            last = await self._attempt(call, member)
+            if isinstance(last, http1.Answer):
+                if last.status < FIRST_SERVER_ERROR or not call.idempotent:
+                    return last
+                reached += 1
+            else:
+                if not last.not_run and not call.idempotent:
+                    return last
+                if last.kind is errors.ErrorKind.TIMEOUT:
+                    return last
+                reached += last.reached
+            if reached and (
+                reached >= route.max_attempts or not retries.try_spend()
+            ):
+                return last
+        if last is None:
+            return calls.Refusal(
+                errors.ErrorKind.NO_ENDPOINT,
+                retry_after_s=DEFAULT_RETRY_AFTER_S,
+            )
+        return last
+
+    async def _attempt(
+        self, call: calls.Call, member: members.Member
+    ) -> calls.Outcome:
+        outcome: calls.Outcome
+        if member is self._table.own:
+            member.sent += 1
+            try:
+                async with asyncio.timeout(max(0.0, call.remaining_s)):
+                    outcome = await self._server.run(call)
+            except TimeoutError:
+                outcome = calls.Refusal(errors.ErrorKind.TIMEOUT, reached=True)
+            finally:
+                member.sent -= 1
+        else:
+            link = self._gossip.find_link(member.record.node_id)
+            if link is None:
+                return calls.Refusal(errors.ErrorKind.CONNECT_FAILED)
+            outcome = await link.call(call)
+        if isinstance(outcome, http1.Answer):
+            member.record_outcome(outcome.status >= FIRST_SERVER_ERROR)
+        elif outcome.reached:
+            member.record_outcome(True)
+        return outcome
+
+    # Choice of the backend server.
+
+    def _choose(
+        self, call: calls.Call, excluded: set[ids.NodeId]
+    ) -> members.Member | None:
+        """Returns the member for the next attempt, None if none is left."""
+        usable = [
+            member
+            for member in self._table.list_serving(call.service)
+            if member.reachable
+            and member.record.node_id not in excluded
+            and (not member.leaving or member is self._table.own)
+        ]
+        if not usable:
+            return None
+        shares = self._planner.compute_shares(
+            call.service,
+            self._table.list_versions(call.service),
+        )
+        present = {m.endpoint.version for m in usable if m.endpoint}
+        allowed = {v: shares[v] for v in present if shares.get(v)}
+        if not allowed:
+            return None
+        version = _choose_weighted(allowed)
+        best: list[members.Member] = []
+        best_ms = 0.0
+        for member in usable:
+            if member.endpoint is None or member.endpoint.version != version:
+                continue
+            cost_ms = self._estimate_ms(member)
+            if not best or cost_ms < best_ms - SPREAD_MS:
+                best, best_ms = [member], cost_ms
+            elif cost_ms < best_ms + SPREAD_MS:
+                best.append(member)
+        member = random.choice(best)
+        assert member.endpoint is not None
+        call.version = version
+        call.instance = member.endpoint.instance
+        return member
+
+    def _estimate_ms(self, member: members.Member) -> float:
+        """Returns the expected time of a request at a member, and its cost."""
+        endpoint = member.endpoint
+        assert endpoint is not None
+        service_ms = member.load.service_ms or 150.0
+        slots = max(1, endpoint.slots)
+        excess = member.outstanding + 1 - slots
+        cost = service_ms
+        if excess > 0:
+            cost += excess * service_ms / slots
+        cost += member.failure_share * FAILURE_COST_MS
+        own = self._settings
+        if member is self._table.own:
+            return cost
+        if member.record.region != own.region:
+            return cost + REGION_COST_MS + REGION_ROUND_TRIP_MS
+        if member.record.failure_domain != own.failure_domain:
+            return cost + ZONE_COST_MS
+        return cost
+
+
+def _choose_service(route: catalog_lib.Route) -> ids.ServiceName:
+    if len(route.split) == 1:
+        return route.split[0].service
+    return random.choices(
+        [part.service for part in route.split],
+        [part.weight for part in route.split],
+    )[0]
+
+
+def _choose_weighted(
+    shares: dict[ids.VersionName, float],
+) -> ids.VersionName:
+    if len(shares) == 1:
+        return next(iter(shares))
+    return random.choices(list(shares), list(shares.values()))[0]
+
+
+def _encode_refusal(refusal: calls.Refusal) -> http1.Answer:
+    answer = errors.ANSWERS[refusal.kind]
+    if answer.status in _CLIENT_ERRORS:
+        status = answer.status
+    elif refusal.not_run:
+        status = 503
+    else:
+        status = 504 if refusal.kind is errors.ErrorKind.TIMEOUT else 502
+    headers = [(b"content-type", b"application/json")]
+    if status == 503:
+        retry_after_s = refusal.retry_after_s or DEFAULT_RETRY_AFTER_S
+        # Spread, so that those refused together don't come back together.
+        retry_after_s *= random.uniform(0.8, 1.2)
+        headers.append((b"retry-after", f"{retry_after_s:.2f}".encode()))
+    return http1.Answer(
+        status,
+        headers,
+        orjson.dumps(
+            {
+                "error": refusal.kind.value,
+                "execution": answer.execution.value,
+                "message": answer.message,
+                "detail": refusal.detail,
+            }
+        ),
+    )
+
+
+def _read_text(request: http1.Request, name: bytes) -> str:
+    return (request.find(name) or b"").decode("latin-1")
--- /dev/null
+++ b/src/lycheestair/sidecar/feeder.py
@@ -0,0 +1,318 @@
+"""Brings the store's content to the nodes, and rollout states to the store."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+from typing import Any
+from typing import Final
+
+from lycheestair import ids
+from lycheestair.sidecar import clock
+from lycheestair.sidecar import gossip as gossip_lib
+from lycheestair.sidecar import journal
+from lycheestair.sidecar import members
+from lycheestair.sidecar import rollout as rollout_lib
+from lycheestair.sidecar import settings as settings_lib
+from lycheestair.sidecar import store as store_lib
+from lycheestair.sidecar import versions as versions_lib
+
+# Nodes that watch the store for all. Each watch costs calls; more than one so
+# that a change arrives although a node or its way to the store is lost.
+FEEDERS: Final = 3
+# A connection that falls silent is only noticed when a watch ends, which has
+# to be within the time for a new configuration.
+WATCH_S: Final = 1.5
+NODES_WATCH_S: Final = 4.0
+# Calls from the store's region take less; a feeder elsewhere costs bytes
+# between regions for each change.
+FAR_STORE_MS: Final = 25
+RETRY_MIN_S: Final = 0.2
+RETRY_MAX_S: Final = 1.5
+# A node that the store has refused asks again after this time.
+RECHECK_S: Final = 2.0
+POLL_S: Final = 0.1
+# Between the last share of a rollout and its end, so that requests at the old
+# version are answered.
+MIN_FULL_SHARE_S: Final = 1.0
+# The record of a node that nobody reaches is removed after this time.
+REMOVE_AFTER_S: Final = 20.0
+
+
+class Feeder:
+    """Watches the store while this node is one of those that should."""
+
+    def __init__(
+        self,
+        settings: settings_lib.SidecarSettings,
+        kinds: store_lib.Kinds,
+        store: store_lib.MetadataStore,
+        codec: store_lib.DocumentCodec,
+        table: members.MemberTable,
+        gossip: gossip_lib.Gossip,
+        planner: versions_lib.VersionPlanner,
+        log: journal.Journal,
+    ):
+        self._settings = settings
+        self._kinds = kinds
+        self._store = store
+        self._codec = codec
+        self._table = table
+        self._gossip = gossip
+        self._planner = planner
+        self._log = log
+        self._record_revisions: dict[str, int] = {}
+        self._unreachable_since: dict[ids.NodeId, float] = {}
+        self._active = False
+
+    async def run(self) -> None:
+        """Joins, then feeds while it is this node's turn."""
+        await self._retry(self._register)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(
+                self._watch(
+                    self._kinds.configuration, WATCH_S, self._take_catalogs
+                )
+            )
+            group.create_task(
+                self._watch(self._kinds.rollouts, WATCH_S, self._take_rollouts)
+            )
+            group.create_task(
+                self._watch(self._kinds.nodes, NODES_WATCH_S, self._take_nodes)
+            )
+            group.create_task(self._control())
+
+    # Turns.
+
+    def _rank(self) -> int:
+        """Returns the place of this node among those that could feed."""
+        own = self._table.own
+        own.store_ok = self._gossip.store_ok
+        own.store_ms = self._gossip.store_ms
+        able = sorted(
+            (
+                (member.store_ms > FAR_STORE_MS, member.record.node_id)
+                for member in self._table
+                if member.reachable
+                and not member.leaving
+                and member.store_ok is not False
+            ),
+        )
+        place = (own.store_ms > FAR_STORE_MS, own.record.node_id)
+        return sum(1 for other in able if other < place)
+
+    def _is_turn(self) -> bool:
+        if self._gossip.leaving:
+            return False
+        turn = self._rank() < FEEDERS
+        if turn != self._active:
+            self._active = turn
+            self._log.write("feeder starts" if turn else "feeder ends")
+        return turn
+
+    def _set_store_ok(self, answered: bool, error: str = "") -> None:
+        if self._gossip.store_ok == answered:
+            return
+        self._gossip.store_ok = answered
+        self._log.write(
+            "store answers" if answered else "store lost", error=error
+        )
+        self._gossip.publish_status()
+
+    async def _retry(self, action: Callable[[], Awaitable[None]]) -> None:
+        pause_s = RETRY_MIN_S
+        while True:
+            try:
+                await action()
+                return
+            except store_lib.StoreUnavailableError as error:
+                self._set_store_ok(False, str(error))
+            await asyncio.sleep(random.uniform(0.5, 1.0) * pause_s)
+            pause_s = min(RETRY_MAX_S, pause_s * 2)
+
+    # Start.
+
+    async def _register(self) -> None:
+        """Writes the own record and learns those of the others."""
+        started = clock.read_s()
+        own = self._table.own.record
+        result = await self._store.put(
+            self._kinds.nodes, own.node_id, own.encode(), 0
+        )
+        self._gossip.store_ms = int((clock.read_s() - started) * 1000)
+        if isinstance(result, store_lib.Conflict) and result.current:
+            current = result.current
+            if current.value != own.encode():
+                result = await self._store.put(
+                    self._kinds.nodes,
+                    own.node_id,
+                    own.encode(),
+                    current.revision,
+                )
+        self._set_store_ok(True)
+        listing = await self._store.list(self._kinds.nodes)
+        self._take_nodes(listing.items)
+        if not self._gossip.catalog.generation:
+            listing = await self._store.list(self._kinds.configuration)
+            self._take_catalogs(listing.items)
+            listing = await self._store.list(self._kinds.rollouts)
+            self._take_rollouts(listing.items)
+
+    # Watches.
+
+    async def _watch(
+        self,
+        kind: str,
+        wait_s: float,
+        take: Callable[[list[store_lib.StoredItem]], None],
+    ) -> None:
+        revision = 0
+        while True:
+            if not self._is_turn():
+                revision = 0
+                await asyncio.sleep(POLL_S)
+                # Seldom, so that a store that is back is noticed although no
+                # other node can reach it.
+                if self._gossip.store_ok is False:
+                    await asyncio.sleep(random.uniform(0.5, 1.0) * RECHECK_S)
+                    if kind == self._kinds.configuration:
+                        await self._recheck()
+                continue
+            try:
+                if revision:
+                    listing = await self._store.watch(kind, revision, wait_s)
+                else:
+                    listing = await self._store.list(kind)
+                self._set_store_ok(True)
+                revision = listing.revision
+                take(listing.items)
+            except store_lib.HistoryLostError:
+                self._log.write("store history lost", kind=kind)
+                revision = 0
+            except store_lib.StoreUnavailableError as error:
+                self._set_store_ok(False, str(error))
+                revision = 0
+                await asyncio.sleep(random.uniform(0.5, 1.0) * RETRY_MIN_S)
+
+    async def _recheck(self) -> None:
+        try:
+            listing = await self._store.list(self._kinds.configuration)
+        except store_lib.StoreUnavailableError as error:
+            self._set_store_ok(False, str(error))
+            return
+        self._set_store_ok(True)
+        self._take_catalogs(listing.items)
+
+    def _take_catalogs(self, items: list[store_lib.StoredItem]) -> None:
+        for item in items:
+            if item.deleted:
+                continue
+            try:
+                catalog = self._codec.decode_catalog(item)
+            except store_lib.DocumentError as error:
+                self._log.write("document ignored", error=str(error))
+                continue
+            if self._gossip.take_catalog(catalog):
+                self._gossip.publish_catalog()
+
+    def _take_rollouts(self, items: list[store_lib.StoredItem]) -> None:
+        news = False
+        for item in items:
+            if item.deleted:
+                continue
+            try:
+                rollout = self._codec.decode_rollout(item)
+            except store_lib.DocumentError as error:
+                self._log.write("document ignored", error=str(error))
+                continue
+            news |= self._gossip.take_rollout(rollout, 0.0)
+        if news:
+            self._gossip.publish_rollouts()
+
+    def _take_nodes(self, items: list[store_lib.StoredItem]) -> None:
+        for item in items:
+            if item.deleted:
+                self._record_revisions.pop(item.name, None)
+                continue
+            try:
+                record = members.decode_record(item.value)
+            except ValueError as error:
+                self._log.write(
+                    "document ignored", name=item.name, error=str(error)
+                )
+                continue
+            self._record_revisions[item.name] = item.revision
+            self._gossip.add_record(record)
+
+    # Duties of the first feeder.
+
+    async def _control(self) -> None:
+        while True:
+            await asyncio.sleep(POLL_S)
+            self._note_unreachable()
+            if self._gossip.leaving or self._gossip.store_ok is not True:
+                continue
+            if self._rank() != 0:
+                continue
+            try:
+                for rollout, age_s in self._planner.list_rollouts():
+                    await self._advance(rollout, age_s)
+                await self._remove_lost()
+            except store_lib.StoreUnavailableError as error:
+                self._set_store_ok(False, str(error))
+
+    async def _advance(
+        self, rollout: rollout_lib.Rollout, age_s: float
+    ) -> None:
+        if rollout.state in rollout_lib.FINAL_STATES:
+            return
+        state = rollout_lib.RolloutState.RUNNING
+        if self._planner.read_bad_reason(rollout.service):
+            state = rollout_lib.RolloutState.ROLLED_BACK
+        elif age_s > rollout.duration_s * versions_lib.COMPLETE_AT:
+            if rollout.target in self._table.list_versions(rollout.service):
+                state = rollout_lib.RolloutState.COMPLETED
+        if state is rollout.state:
+            return
+        result: Any = await self._store.put_status(
+            self._kinds.rollouts,
+            rollout.service,
+            self._codec.encode_rollout_status(rollout.target, state),
+            rollout.revision,
+        )
+        item = (
+            result.current
+            if isinstance(result, store_lib.Conflict)
+            else result
+        )
+        self._log.write(
+            "rollout status written"
+            if item is result
+            else "rollout status conflict",
+            service=rollout.service,
+            target=rollout.target,
+            state=state.value,
+            reason=self._planner.read_bad_reason(rollout.service),
+        )
+        if item is not None:
+            self._take_rollouts([item])
+
+    def _note_unreachable(self) -> None:
+        now = clock.read_s()
+        for member in self._table.list_others():
+            node_id = member.record.node_id
+            if member.reachable:
+                self._unreachable_since.pop(node_id, None)
+            else:
+                self._unreachable_since.setdefault(node_id, now)
+
+    async def _remove_lost(self) -> None:
+        now = clock.read_s()
+        for node_id, since in list(self._unreachable_since.items()):
+            if now - since < REMOVE_AFTER_S:
+                continue
+            self._unreachable_since[node_id] = now
+            revision = self._record_revisions.get(node_id)
+            if revision is not None:
+                await self._store.delete(self._kinds.nodes, node_id, revision)
+                self._log.write("record removed", peer=node_id)
--- /dev/null
+++ b/src/lycheestair/sidecar/gossip.py
@@ -0,0 +1,443 @@
+"""Exchange of members, loads, configurations and rollouts between nodes."""
+
+import asyncio
+from typing import Any
+from typing import Final
+
+from lycheestair import ids
+from lycheestair.sidecar import backend
+from lycheestair.sidecar import catalog as catalog_lib
+from lycheestair.sidecar import clock
+from lycheestair.sidecar import frames
+from lycheestair.sidecar import journal
+from lycheestair.sidecar import links
+from lycheestair.sidecar import members
+from lycheestair.sidecar import rollout as rollout_lib
+from lycheestair.sidecar import serving
+from lycheestair.sidecar import settings as settings_lib
+from lycheestair.sidecar import versions as versions_lib
+
+TICK_S: Final = 0.1
+# Loads change within tenths of a second; bytes between regions are dear.
+STATUS_INTERVAL_S: Final = 0.5
+FAR_STATUS_INTERVAL_S: Final = 1.0
+# A configuration that another node has is asked for after this time, unless it
+# arrives by itself.
+FETCH_AFTER_S: Final = 0.15
+# Earlier configurations kept, to send changes instead of the whole.
+KEPT_CATALOGS: Final = 8
+
+
+class Gossip:
+    """The view that a node shares with the others.
+
+    Attributes:
+      catalog: Configuration in force; its generation only rises.
+      store_ok: Whether the store answers this node, None if not known.
+      store_ms: Time in milliseconds of a call to the store.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.SidecarSettings,
+        table: members.MemberTable,
+        server: serving.ServingNode,
+        planner: versions_lib.VersionPlanner,
+        log: journal.Journal,
+    ):
+        self.catalog = catalog_lib.EMPTY
+        self.leaving = False
+        self.store_ok: bool | None = None
+        self.store_ms = 0
+        self._settings = settings
+        self._table = table
+        self._server = server
+        self._planner = planner
+        self._log = log
+        self._links: dict[ids.NodeId, links.PeerLink] = {}
+        self._earlier: dict[ids.Generation, catalog_lib.Catalog] = {}
+        self._wanted_since = 0.0
+        self._status_number = 0
+        self._near_at = 0.0
+        self._far_at = 0.0
+        self._counted_revision = 0
+
+    # Members.
+
+    def find_link(self, node_id: ids.NodeId) -> links.PeerLink | None:
+        """Returns the link to a member."""
+        return self._links.get(node_id)
+
+    def add_record(self, record: members.NodeRecord) -> members.Member | None:
+        """Takes over a record and connects to its node.
+
+        Returns:
+          The member; None for the own node.
+        """
+        if record.node_id == self._table.own.record.node_id:
+            return None
+        added = self._table.add(record)
+        member = self._table.find(record.node_id)
+        if added is not None and member is not None:
+            self._log.write(
+                "member known",
+                peer=record.node_id,
+                address=record.address,
+                incarnation=record.incarnation,
+            )
+        link = self._links.get(record.node_id)
+        if link is None and member is not None:
+            link = links.PeerLink(
+                member,
+                self.greet,
+                self.handle,
+                self._on_change,
+                self._log,
+            )
+            self._links[record.node_id] = link
+            link.start()
+        elif link is not None and not link.member.reachable:
+            link.retry()
+        return member
+
+    def remove_member(self, node_id: ids.NodeId) -> None:
+        """Forgets a member whose instance is gone."""
+        link = self._links.pop(node_id, None)
+        if link is not None:
+            link.stop()
+        self._table.remove(node_id)
+
+    def _on_change(self, member: members.Member) -> None:
+        if member.reachable:
+            link = self._links[member.record.node_id]
+            if self.catalog.generation:
+                self._send_whole(link, member.generation)
+            link.send(self._encode_rollouts())
+        else:
+            member.generation = ids.Generation(0)
+
+    def greet(self) -> list[frames.Frame]:
+        """Returns the frames that begin a connection."""
+        return [
+            [
+                frames.FrameType.HELLO,
+                self._table.own.record.encode(),
+                self._encode_status(),
+                [
+                    member.record.encode()
+                    for member in self._table.list_others()
+                    if member.reachable
+                ],
+            ]
+        ]
+
+    # Frames.
+
+    def handle(self, member: members.Member, frame: frames.Frame) -> None:
+        """Handles a frame that is not about a call."""
+        kind = frame[0]
+        if kind == frames.FrameType.HELLO:
+            record = members.decode_record(frame[1])
+            self.add_record(record)
+            self._take_status(member, frame[2])
+            for fields in frame[3]:
+                self.add_record(members.decode_record(fields))
+        elif kind == frames.FrameType.STATUS:
+            self._take_status(member, frame[1])
+        elif kind == frames.FrameType.CONFIGURATION:
+            self._take_configuration(member, frame[1])
+        elif kind == frames.FrameType.CONFIGURATION_WANTED:
+            link = self._links.get(member.record.node_id)
+            if link is not None:
+                self._send_whole(link, ids.Generation(frame[1]))
+        elif kind == frames.FrameType.ROLLOUTS:
+            for fields in frame[1]:
+                self._take_rollout_fields(fields)
+
+    def _take_status(self, member: members.Member, fields: list[Any]) -> None:
+        (
+            number,
+            endpoint,
+            load,
+            generation,
+            leaving,
+            store_ok,
+            store_ms,
+            order_revision,
+            counts,
+        ) = fields
+        if number <= member.status_number:
+            return
+        member.status_number = number
+        member.leaving = leaving
+        member.store_ok = store_ok
+        member.store_ms = store_ms
+        member.generation = ids.Generation(generation)
+        member.report_load(*load)
+        if counts is not None:
+            member.order_revision = order_revision
+            member.counts = tuple(
+                members.RouteCount(*count) for count in counts
+            )
+        decoded = None
+        if endpoint is not None:
+            *values, state = endpoint
+            decoded = members.Endpoint(*values, backend.BackendState(state))
+        if decoded != member.endpoint:
+            self._log.write(
+                "endpoint changed",
+                peer=member.record.node_id,
+                instance=decoded.instance if decoded else None,
+                version=decoded.version if decoded else None,
+                state=decoded.state.value if decoded else "gone",
+            )
+            member.endpoint = decoded
+            self._table.index()
+
+    def _encode_status(self) -> list[Any]:
+        self._status_number += 1
+        endpoint = self._server.endpoint
+        revision = 0
+        counts = None
+        if endpoint is not None:
+            order = self._planner.find_order(endpoint.service)
+            if order is not None:
+                if self._counted_revision != order.created:
+                    self._counted_revision = order.created
+                    self._server.counts.clear()
+                if order.state not in rollout_lib.FINAL_STATES:
+                    revision = order.created
+                    counts = [
+                        [route, *count]
+                        for route, count in self._server.counts.items()
+                    ]
+                    own = self._table.own
+                    own.order_revision = revision
+                    own.counts = tuple(
+                        members.RouteCount(*count) for count in counts
+                    )
+        return [
+            self._status_number,
+            None
+            if endpoint is None
+            else [
+                endpoint.instance,
+                endpoint.service,
+                endpoint.version,
+                endpoint.slots,
+                endpoint.state.value,
+            ],
+            self.read_load(),
+            self.catalog.generation,
+            self.leaving,
+            self.store_ok,
+            self.store_ms,
+            revision,
+            counts,
+        ]
+
+    def read_load(self) -> list[int]:
+        """Returns the load of the own backend server."""
+        admission = self._server.admission
+        return [
+            admission.running,
+            admission.waiting,
+            int(admission.service_s * 1000),
+        ]
+
+    def publish_status(self) -> None:
+        """Sends the own status to all members at once."""
+        own = self._table.own
+        if own.endpoint != self._server.endpoint:
+            own.endpoint = self._server.endpoint
+            self._table.index()
+        self._send_status(lambda member: True)
+
+    def _send_status(self, select: Any) -> None:
+        data = frames.encode([frames.FrameType.STATUS, self._encode_status()])
+        for link in self._links.values():
+            if select(link.member):
+                link.send_bytes(data)
+
+    # Configuration.
+
+    def take_catalog(self, catalog: catalog_lib.Catalog) -> bool:
+        """Brings a configuration into force if it is newer."""
+        if catalog.generation <= self.catalog.generation:
+            return False
+        old = self.catalog
+        self._earlier[old.generation] = old
+        for generation in sorted(self._earlier)[:-KEPT_CATALOGS]:
+            del self._earlier[generation]
+        self.catalog = catalog
+        self._wanted_since = 0.0
+        self._log.write(
+            "configuration in force",
+            generation=catalog.generation,
+            earlier=old.generation,
+            routes=len(catalog.routes),
+        )
+        return True
+
+    def publish_catalog(self) -> None:
+        """Sends the configuration in force to members that may lack it."""
+        encoded: dict[ids.Generation, bytes] = {}
+        for link in self._links.values():
+            base = link.member.generation
+            if base >= self.catalog.generation:
+                continue
+            if base not in encoded:
+                encoded[base] = self._encode_catalog(base)
+            if link.send_bytes(encoded[base]):
+                link.member.generation = self.catalog.generation
+
+    def _encode_catalog(self, base: ids.Generation) -> bytes:
+        old = self._earlier.get(base, catalog_lib.EMPTY)
+        return frames.encode(
+            [
+                frames.FrameType.CONFIGURATION,
+                catalog_lib.encode_change(old, self.catalog),
+            ]
+        )
+
+    def _send_whole(self, link: links.PeerLink, base: ids.Generation) -> None:
+        if base < self.catalog.generation:
+            link.send_bytes(self._encode_catalog(base))
+            link.member.generation = self.catalog.generation
+
+    def _take_configuration(
+        self, member: members.Member, document: catalog_lib.Encoded
+    ) -> None:
+        generation = ids.Generation(int(document[0]))
+        member.generation = max(member.generation, generation)
+        if generation <= self.catalog.generation:
+            return
+        base = catalog_lib.read_base(document)
+        old = self.catalog
+        if base not in (0, old.generation):
+            found = self._earlier.get(base)
+            if found is None:
+                self._fetch(member)
+                return
+            old = found
+        try:
+            self.take_catalog(catalog_lib.apply_change(old, document))
+        except catalog_lib.CatalogError as error:
+            self._log.write(
+                "configuration refused",
+                peer=member.record.node_id,
+                generation=generation,
+                error=str(error),
+            )
+            self._fetch(member)
+
+    def _fetch(self, member: members.Member) -> None:
+        link = self._links.get(member.record.node_id)
+        if link is not None:
+            link.send([frames.FrameType.CONFIGURATION_WANTED, 0])
+
+    # Rollouts.
+
+    def take_rollout(
+        self, rollout: rollout_lib.Rollout, age_s: float
+    ) -> bool:
+        """Takes over a rollout; returns whether it is news."""
+        if not self._planner.take(rollout, age_s):
+            return False
+        self._log.write(
+            "rollout known",
+            service=rollout.service,
+            target=rollout.target,
+            state=rollout.state.value,
+            revision=rollout.revision,
+            age_ms=int(age_s * 1000),
+        )
+        return True
+
+    def publish_rollouts(self) -> None:
+        """Sends the known rollouts to all members."""
+        data = frames.encode(self._encode_rollouts())
+        for link in self._links.values():
+            link.send_bytes(data)
+
+    def _encode_rollouts(self) -> frames.Frame:
+        return [
+            frames.FrameType.ROLLOUTS,
+            [
+                [
+                    rollout.service,
+                    rollout.target,
+                    rollout.duration_s,
+                    rollout.state.value,
+                    rollout.revision,
+                    rollout.created,
+                    age_s,
+                ]
+                for rollout, age_s in self._planner.list_rollouts()
+            ],
+        ]
+
+    def _take_rollout_fields(self, fields: list[Any]) -> None:
+        service, target, duration_s, state, revision, created, age_s = fields
+        self.take_rollout(
+            rollout_lib.Rollout(
+                service,
+                target,
+                duration_s,
+                rollout_lib.RolloutState(state),
+                revision,
+                created,
+            ),
+            age_s,
+        )
+
+    # Periodic work.
+
+    async def run(self) -> None:
+        """Sends the own status and checks links until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = clock.read_s()
+            self._server.check_heartbeat()
+            self._table.own.report_load(*self.read_load())
+            for link in list(self._links.values()):
+                link.check()
+            self._send_due_status(now)
+            self._fetch_newer(now)
+            for rollout in self._planner.judge():
+                self._log.write(
+                    "version found bad",
+                    service=rollout.service,
+                    version=rollout.target,
+                    reason=self._planner.read_bad_reason(rollout.service),
+                )
+
+    def _send_due_status(self, now: float) -> None:
+        region = self._settings.region
+        if now - self._far_at >= FAR_STATUS_INTERVAL_S:
+            self._far_at = self._near_at = now
+            self._send_status(lambda member: True)
+        elif now - self._near_at >= STATUS_INTERVAL_S:
+            self._near_at = now
+            self._send_status(lambda member: member.record.region == region)
+
+    def _fetch_newer(self, now: float) -> None:
+        newest = max(
+            (m for m in self._table.list_others() if m.reachable),
+            key=lambda member: member.generation,
+            default=None,
+        )
+        if newest is None or newest.generation <= self.catalog.generation:
+            self._wanted_since = 0.0
+        elif not self._wanted_since:
+            self._wanted_since = now
+        elif now - self._wanted_since > FETCH_AFTER_S:
+            self._wanted_since = now
+            link = self._links.get(newest.record.node_id)
+            if link is not None:
+                link.send(
+                    [
+                        frames.FrameType.CONFIGURATION_WANTED,
+                        self.catalog.generation,
+                    ]
+                )
--- /dev/null
+++ b/src/lycheestair/sidecar/node.py
@@ -0,0 +1,224 @@
+"""One sidecar node: entry, serving, gossip and feeder in one process."""
+
+import asyncio
+import signal
+from typing import Final
+from typing import Protocol
+
+from lycheestair import ids
+from lycheestair import messages
+from lycheestair.sidecar import backend
+from lycheestair.sidecar import clock
+from lycheestair.sidecar import entry
+from lycheestair.sidecar import feeder
+from lycheestair.sidecar import gossip
+from lycheestair.sidecar import http1
+from lycheestair.sidecar import journal
+from lycheestair.sidecar import members
+from lycheestair.sidecar import peer_server
+from lycheestair.sidecar import serving
+from lycheestair.sidecar import settings as settings_lib
+from lycheestair.sidecar import store as store_lib
+from lycheestair.sidecar import streams
+from lycheestair.sidecar import versions
+
+# Readiness checks come each second; after two misses clients stay away.
+LEAVE_S: Final = 2.6
+# Kept free at the end of the grace time for the exit itself.
+EXIT_MARGIN_S: Final = 0.5
+POLL_S: Final = 0.05
+MAX_CALL_HEADER_BYTES: Final = 16_384
+MAX_CALL_BODY_BYTES: Final = 65_536
+CALL_IDLE_S: Final = 30.0
+
+
+class Platform(Protocol):
+    """What a node needs of the platform it runs on."""
+
+    headers: backend.HeaderNames
+    kinds: store_lib.Kinds
+    codec: store_lib.DocumentCodec
+    readiness_path: str
+
+    def connect_store(self, address: ids.Address) -> store_lib.MetadataStore:
+        """Returns a client of the store."""
+
+    def decode_announcement(
+        self, request: http1.Request
+    ) -> backend.Announcement:
+        """Decodes a heartbeat; raises ValueError for anything else."""
+
+    def encode_acknowledgement(self) -> bytes:
+        """Returns the body of the answer to a heartbeat."""
+
+
+class SidecarNode:
+    """The parts of a node, built from its settings."""
+
+    def __init__(
+        self, settings: settings_lib.SidecarSettings, platform: Platform
+    ):
+        self._settings = settings
+        self._platform = platform
+        self._log = journal.Journal(settings.node_id)
+        own = members.NodeRecord(
+            settings.node_id,
+            settings.peers,
+            settings.failure_domain,
+            settings.region,
+            serving.read_unix_ms(),
+        )
+        self._table = members.MemberTable(own)
+        self._planner = versions.VersionPlanner(self._table)
+        self._server = serving.ServingNode(
+            settings, platform.headers, self._log
+        )
+        self._gossip = gossip.Gossip(
+            settings, self._table, self._server, self._planner, self._log
+        )
+        self._server.changed = self._gossip.publish_status
+        self._entry = entry.EntryNode(
+            settings,
+            platform.headers,
+            self._table,
+            self._gossip,
+            self._planner,
+            self._server,
+            self._log,
+        )
+        self._peers = peer_server.PeerServer(
+            self._server,
+            self._gossip.greet,
+            self._gossip.add_record,
+            self._gossip.handle,
+            self._log,
+        )
+        self._feeder = feeder.Feeder(
+            settings,
+            platform.kinds,
+            platform.connect_store(settings.store),
+            platform.codec,
+            self._table,
+            self._gossip,
+            self._planner,
+            self._log,
+        )
+
+    async def run(self) -> None:
+        """Runs until SIGTERM, then leaves."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        settings = self._settings
+        self._log.write(
+            "node starts",
+            address=settings.peers,
+            service=settings.service,
+            failure_domain=settings.failure_domain,
+            incarnation=self._table.own.record.incarnation,
+        )
+        servers = [
+            await streams.listen(settings.peers, self._peers.serve),
+            await streams.listen(settings.readiness, self._serve_readiness),
+            await streams.listen(settings.control, self._serve_control),
+            await streams.listen(settings.callers, self._entry.serve),
+        ]
+        tasks = [
+            loop.create_task(self._gossip.run()),
+            loop.create_task(self._feeder.run()),
+        ]
+        stopping = loop.create_task(stop.wait())
+        await asyncio.wait(
+            [stopping, *tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in tasks:
+            if task.done():
+                task.result()
+        await self._leave()
+        for server in servers:
+            server.close()
+        self._log.write("node ends")
+
+    def _reload(self) -> None:
+        # All settings that a node reads stay the same for its process.
+        self._log.write("settings reloaded", changed=False)
+
+    async def _leave(self) -> None:
+        """Answers what is in progress and what still comes, then returns."""
+        started = clock.read_s()
+        self._gossip.leaving = True
+        self._table.own.leaving = True
+        self._gossip.publish_status()
+        self._log.write(
+            "node leaves",
+            in_progress=self._entry.in_progress,
+            peer_calls=self._peers.running,
+        )
+        limit_s = self._settings.bounds.grace_s - EXIT_MARGIN_S
+        while (elapsed := clock.read_s() - started) < limit_s:
+            if (
+                elapsed > LEAVE_S
+                and not self._entry.in_progress
+                and not self._peers.running
+            ):
+                break
+            await asyncio.sleep(POLL_S)
+        self._entry.close_idle()
+
+    # Calls of the platform.
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients may send requests."""
+        return bool(
+            self._gossip.catalog.generation and not self._gossip.leaving
+        )
+
+    async def _serve_readiness(self, stream: streams.Stream) -> None:
+        await self._serve_calls(stream, self._answer_readiness)
+
+    async def _serve_control(self, stream: streams.Stream) -> None:
+        await self._serve_calls(stream, self._answer_announcement)
+
+    async def _serve_calls(self, stream, answer) -> None:
+        try:
+            while True:
+                async with asyncio.timeout(CALL_IDLE_S):
+                    request = await http1.read_request(
+                        stream, MAX_CALL_HEADER_BYTES, MAX_CALL_BODY_BYTES
+                    )
+                stream.write(
+                    http1.encode_answer(
+                        answer(request), request.method, request.keep
+                    )
+                )
+                if not request.keep:
+                    return
+        except (OSError, messages.IncompleteMessageError):
+            return  # The other side closed the connection.
+        except (
+            messages.MalformedMessageError,
+            messages.BodyTooLargeError,
+        ) as error:
+            self._log.write("call rejected", error=str(error))
+
+    def _answer_readiness(self, request: http1.Request) -> http1.Answer:
+        if request.path != self._platform.readiness_path:
+            return http1.Answer(404, [], b"")
+        return http1.Answer(200 if self.ready else 503, [], b"")
+
+    def _answer_announcement(self, request: http1.Request) -> http1.Answer:
+        try:
+            report = self._platform.decode_announcement(request)
+        except ValueError as error:
+            self._log.write("announcement rejected", error=str(error))
+            return http1.Answer(400, [], b"")
+        if not self._server.announce(report):
+            return http1.Answer(409, [], b"")
+        return http1.Answer(
+            200,
+            [(b"content-type", b"application/json")],
+            self._platform.encode_acknowledgement(),
+        )
--- /dev/null
+++ b/src/lycheestair/sidecar/peer_server.py
@@ -0,0 +1,233 @@
+"""Incoming connections of other nodes, and the calls they make."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+from typing import Final
+
+from lycheestair import errors
+from lycheestair import ids
+from lycheestair import messages
+from lycheestair.sidecar import calls
+from lycheestair.sidecar import clock
+from lycheestair.sidecar import frames
+from lycheestair.sidecar import http1
+from lycheestair.sidecar import journal
+from lycheestair.sidecar import links
+from lycheestair.sidecar import members
+from lycheestair.sidecar import serving
+from lycheestair.sidecar import streams
+
+GREETING_TIMEOUT_S: Final = 2.0
+# A call whose connection is lost is given up after this time, unless its entry
+# node sends it again: longer than a reconnect, shorter than a client's wait.
+ORPHAN_S: Final = 0.5
+# Outcomes are kept for calls that are sent again after a lost connection.
+KEEP_OUTCOME_S: Final = 5.0
+
+_Key = tuple[ids.NodeId, int, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    stream: streams.Stream | None
+    number: int
+    task: "asyncio.Task[None] | None" = None
+    outcome: calls.Outcome | None = None
+
+
+class PeerServer:
+    """Answers the calls of other nodes, each at most once."""
+
+    def __init__(
+        self,
+        server: serving.ServingNode,
+        greet: Callable[[], list[frames.Frame]],
+        on_hello: Callable[[members.NodeRecord], members.Member | None],
+        on_frame: links.FrameHandler,
+        log: journal.Journal,
+    ):
+        """Initializes the server.
+
+        Args:
+          server: Runs the calls.
+          greet: Returns the frames that answer a greeting.
+          on_hello: Returns the member for a record.
+          on_frame: Handles frames that are not about calls.
+          log: Log of the node.
+        """
+        self._server = server
+        self._greet = greet
+        self._on_hello = on_hello
+        self._on_frame = on_frame
+        self._log = log
+        self._calls: dict[_Key, _Running] = {}
+        self._finished: collections.deque[tuple[float, _Key]] = (
+            collections.deque()
+        )
+        self._streams: set[streams.Stream] = set()
+
+    @property
+    def running(self) -> int:
+        """Calls that are not answered."""
+        return sum(1 for call in self._calls.values() if call.outcome is None)
+
+    async def serve(self, stream: streams.Stream) -> None:
+        """Serves one connection until it ends."""
+        member = None
+        incarnation = 0
+        self._streams.add(stream)
+        try:
+            async with asyncio.timeout(GREETING_TIMEOUT_S):
+                hello = await frames.read(stream)
+            if hello[0] != frames.FrameType.HELLO:
+                raise messages.MalformedMessageError("no greeting")
+            record = members.decode_record(hello[1])
+            incarnation = record.incarnation
+            member = self._on_hello(record)
+            if member is None:
+                return
+            for frame in self._greet():
+                stream.write(frames.encode(frame))
+            self._on_frame(member, hello)
+            while True:
+                frame = await frames.read(stream)
+                member.heard_at = clock.read_s()
+                self._handle(member, incarnation, stream, frame)
+        except (
+            OSError,
+            ValueError,
+            messages.IncompleteMessageError,
+            messages.MalformedMessageError,
+        ) as error:
+            if not isinstance(error, messages.IncompleteMessageError):
+                self._log.write(
+                    "peer connection ended",
+                    peer=member.record.node_id if member else None,
+                    error=repr(error),
+                )
+        finally:
+            self._streams.discard(stream)
+            stream.abort()
+            if member is not None:
+                self._orphan(stream)
+
+    def _handle(
+        self,
+        member: members.Member,
+        incarnation: int,
+        stream: streams.Stream,
+        frame: frames.Frame,
+    ) -> None:
+        kind = frame[0]
+        if kind == frames.FrameType.REQUEST:
+            key = (member.record.node_id, incarnation, frame[1])
+            self._accept(key, stream, frame[2])
+        elif kind == frames.FrameType.CANCEL:
+            key = (member.record.node_id, incarnation, frame[1])
+            self._cancel(key)
+        elif kind == frames.FrameType.PING:
+            stream.write(frames.encode([frames.FrameType.PONG]))
+        else:
+            self._on_frame(member, frame)
+
+    def _accept(
+        self, key: _Key, stream: streams.Stream, fields: list[object]
+    ) -> None:
+        known = self._calls.get(key)
+        if known is not None:
+            known.stream = stream
+            if known.outcome is not None:
+                self._answer(known)
+            return
+        call = calls.decode_call(fields)
+        running = _Running(stream, key[2])
+        self._calls[key] = running
+        running.task = asyncio.get_running_loop().create_task(
+            self._run(key, running, call)
+        )
+
+    async def _run(
+        self, key: _Key, running: _Running, call: calls.Call
+    ) -> None:
+        outcome: calls.Outcome = calls.Refusal(
+            errors.ErrorKind.INTERNAL, reached=True
+        )
+        try:
+            outcome = await self._server.run(call)
+        except asyncio.CancelledError:
+            outcome = calls.Refusal(errors.ErrorKind.TIMEOUT, "cancelled")
+        finally:
+            running.outcome = outcome
+            self._finished.append((clock.read_s(), key))
+            self._forget()
+            if isinstance(outcome, calls.Refusal):
+                self._log.write(
+                    "call refused",
+                    id=call.request_id.decode("latin-1"),
+                    origin=key[0],
+                    route=call.route,
+                    kind=outcome.kind.value,
+                    detail=outcome.detail,
+                    reached=outcome.reached,
+                    running=self._server.admission.running,
+                    waiting=self._server.admission.waiting,
+                )
+            self._answer(running)
+
+    def _answer(self, running: _Running) -> None:
+        if running.stream is None or running.outcome is None:
+            return
+        outcome = running.outcome
+        if isinstance(outcome, http1.Answer):
+            outcome = http1.Answer(
+                outcome.status,
+                messages.select_end_to_end(outcome.headers),
+                outcome.body,
+            )
+        running.stream.write(
+            frames.encode(
+                links.encode_outcome(
+                    running.number, self._read_load(), outcome
+                )
+            )
+        )
+
+    def _read_load(self) -> list[int]:
+        admission = self._server.admission
+        return [
+            admission.running,
+            admission.waiting,
+            int(admission.service_s * 1000),
+        ]
+
+    def _cancel(self, key: _Key) -> None:
+        running = self._calls.get(key)
+        if running is not None and running.task is not None:
+            running.stream = None
+            running.task.cancel()
+
+    def _orphan(self, stream: streams.Stream) -> None:
+        orphans = [
+            key
+            for key, running in self._calls.items()
+            if running.stream is stream and running.outcome is None
+        ]
+        if orphans:
+            asyncio.get_running_loop().call_later(
+                ORPHAN_S, self._cancel_orphans, stream, orphans
+            )
+
+    def _cancel_orphans(
+        self, stream: streams.Stream, orphans: list[_Key]
+    ) -> None:
+        for key in orphans:
+            running = self._calls.get(key)
+            if running is not None and running.stream is stream:
+                self._cancel(key)
+
+    def _forget(self) -> None:
+        oldest = clock.read_s() - KEEP_OUTCOME_S
+        while self._finished and self._finished[0][0] < oldest:
+            self._calls.pop(self._finished.popleft()[1], None)
--- /dev/null
+++ b/src/lycheestair/sidecar/serving.py
@@ -0,0 +1,376 @@
+"""The serving node: the only way to the backend server beside it."""
+
+import asyncio
+import collections
+import time
+from typing import Final
+
+from lycheestair import errors
+from lycheestair import ids
+from lycheestair import messages
+from lycheestair.sidecar import admission as admission_lib
+from lycheestair.sidecar import backend
+from lycheestair.sidecar import calls
+from lycheestair.sidecar import clock
+from lycheestair.sidecar import http1
+from lycheestair.sidecar import journal
+from lycheestair.sidecar import members
+from lycheestair.sidecar import settings as settings_lib
+from lycheestair.sidecar import streams
+
+# The backend server is on the same machine: a connection is made at once or
+# not at all.
+CONNECT_TIMEOUT_S: Final = 0.3
+# Heartbeats that may be missing before the backend server counts as gone.
+MISSED_HEARTBEATS: Final = 4
+# An idle connection is used for this part of the time that the backend server
+# states, and for DEFAULT_IDLE_S if it states none.
+IDLE_SHARE: Final = 0.7
+DEFAULT_IDLE_S: Final = 0.3
+MAX_FOREIGN_ANSWERS: Final = 4
+MISDIRECTED: Final = 421
+FIRST_SERVER_ERROR: Final = 500
+# Sent to the backend server so that it stops before its node gives up.
+MIN_DEADLINE_MS: Final = 1
+
+
+class _Connection:
+    """Kept connection to the backend server."""
+
+    def __init__(self, stream: streams.Stream):
+        self.stream = stream
+        self.idle_since = 0.0
+        self.max_idle_s = DEFAULT_IDLE_S
+
+
+class ServingNode:
+    """Admits calls and runs them on the own backend server.
+
+    Attributes:
+      endpoint: The backend server as announced, None when it is not known.
+      changed: Called after the endpoint has changed.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.SidecarSettings,
+        headers: backend.HeaderNames,
+        log: journal.Journal,
+    ):
+        self.admission = admission_lib.Admission()
+        self.endpoint: members.Endpoint | None = None
+        self.changed = lambda: None
+        self.counts: dict[ids.RouteName, list[int]] = {}
+        self._settings = settings
+        self._headers = headers
+        self._set_headers = frozenset(
+            {headers.deadline_ms, headers.instance, headers.caller}
+        )
+        self._log = log
+        self._latest: backend.Announcement | None = None
+        self._heard_at = 0.0
+        self._left: set[tuple[str, int]] = set()
+        self._idle: collections.deque[_Connection] = collections.deque()
+
+    # Announcements.
+
+    def announce(self, report: backend.Announcement) -> bool:
+        """Takes over a heartbeat or deregistration.
+
+        Returns:
+          Whether it comes from the incarnation that is known now or from a
+          later one.
+        """
+        known = self._latest
+        if known is not None and not _continues(known, report):
+            self._log.write(
+                "heartbeat ignored",
+                instance=report.instance,
+                started_ms=report.started_ms,
+                known_started_ms=known.started_ms,
+                sequence=report.sequence,
+            )
+            return False
+        incarnation = (report.instance, report.started_ms)
+        if report.state is backend.BackendState.GONE:
+            if known is None or known.instance != report.instance:
+                return True
+            self._left.add((known.instance, known.started_ms))
+            self._set_endpoint(None, "deregistered")
+            return True
+        if incarnation in self._left:
+            return True
+        if known is None or (known.instance, known.started_ms) != incarnation:
+            self._close_idle()
+            self.admission.reset_service_time()
+        self._latest = report
+        self._heard_at = clock.read_s()
+        self._set_endpoint(
+            members.Endpoint(
+                report.instance,
+                report.service,
+                report.version,
+                report.slots,
+                report.state,
+            ),
+            "heartbeat",
+        )
+        return True
+
+    def _set_endpoint(
+        self, endpoint: members.Endpoint | None, reason: str
+    ) -> None:
+        if endpoint == self.endpoint:
+            return
+        self._log.write(
+            "backend server changed",
+            reason=reason,
+            instance=endpoint.instance if endpoint else None,
+            service=endpoint.service if endpoint else None,
+            version=endpoint.version if endpoint else None,
+            state=endpoint.state.value if endpoint else "gone",
+        )
+        self.endpoint = endpoint
+        serving = (
+            endpoint is not None
+            and endpoint.state is backend.BackendState.SERVING
+        )
+        self.admission.resize(
+            endpoint.slots if serving and endpoint is not None else 0
+        )
+        if not serving:
+            self._close_idle()
+        self.changed()
+
+    def check_heartbeat(self) -> None:
+        """Withdraws a backend server that has fallen silent."""
+        limit = self._settings.heartbeat_interval_s * MISSED_HEARTBEATS
+        if (
+            self.endpoint is not None
+            and clock.read_s() - self._heard_at > limit
+        ):
+            self._set_endpoint(None, "no heartbeat")
+
+    def _close_idle(self) -> None:
+        while self._idle:
+            self._idle.pop().stream.close()
+
+    # Calls.
+
+    async def run(self, call: calls.Call) -> calls.Outcome:
+        """Runs a call: one whole answer or one refusal."""
+        endpoint = self.endpoint
+        if (
+            endpoint is None
+            or endpoint.state is not backend.BackendState.SERVING
+            or (endpoint.service, endpoint.version)
+            != (call.service, call.version)
+        ):
+            return calls.Refusal(
+                errors.ErrorKind.DRAINING, "not the endpoint asked for"
+            )
+        refusal = await self.admission.acquire(call)
+        if refusal is not None:
+            return refusal
+        if call.idempotent:
+            return await self._run_admitted(endpoint, call)
+        # A request that may have begun goes on without its client: breaking
+        # it off would leave open whether its work was done.
+        return await asyncio.shield(self._run_admitted(endpoint, call))
+
+    async def _run_admitted(
+        self, endpoint: members.Endpoint, call: calls.Call
+    ) -> calls.Outcome:
+        measured = False
+        started = clock.read_s()
+        try:
+            outcome = await self._send(endpoint, call)
+            measured = (
+                isinstance(outcome, http1.Answer)
+                or outcome.kind is errors.ErrorKind.TIMEOUT
+            )
+            self._count(call, outcome, clock.read_s() - started)
+            return outcome
+        finally:
+            self.admission.release(call, measured)
+
+    def _count(
+        self, call: calls.Call, outcome: calls.Outcome, taken_s: float
+    ) -> None:
+        if isinstance(outcome, http1.Answer):
+            failed = outcome.status >= FIRST_SERVER_ERROR
+        elif outcome.not_run:
+            return
+        else:
+            failed = True
+        count = self.counts.setdefault(call.route, [0, 0, 0])
+        count[0] += 1
+        count[1] += failed
+        count[2] += int(taken_s * 1000)
+
+    async def _send(
+        self, endpoint: members.Endpoint, call: calls.Call
+    ) -> calls.Outcome:
+        if endpoint is not self.endpoint:
+            return calls.Refusal(errors.ErrorKind.DRAINING)
+        try:
+            connection = await self._check_out()
+        except OSError as error:
+            # Nothing listens: calls go elsewhere until the next heartbeat.
+            if isinstance(error, ConnectionRefusedError):
+                self._set_endpoint(None, "connection refused")
+            return calls.Refusal(errors.ErrorKind.CONNECT_FAILED, repr(error))
+        remaining_ms = int(call.remaining_s * 1000)
+        if remaining_ms < MIN_DEADLINE_MS:
+            self._check_in(connection)
+            return calls.Refusal(errors.ErrorKind.DEADLINE_TOO_SHORT)
+        keep = False
+        try:
+            connection.stream.write(self._encode(endpoint, call, remaining_ms))
+            async with asyncio.timeout(call.remaining_s):
+                answer = await self._read_answer(connection.stream, call)
+            keep = answer.keep and not connection.stream.unsent
+            connection.max_idle_s = _read_max_idle_s(answer)
+            return self._judge(answer, endpoint)
+        except TimeoutError:
+            return calls.Refusal(errors.ErrorKind.TIMEOUT, reached=True)
+        except messages.IncompleteMessageError as error:
+            return calls.Refusal(
+                errors.ErrorKind.ANSWER_INCOMPLETE
+                if error.started
+                else errors.ErrorKind.CONNECTION_LOST,
+                reached=True,
+            )
+        except (
+            messages.MalformedMessageError,
+            messages.BodyTooLargeError,
+        ) as error:
+            return calls.Refusal(
+                errors.ErrorKind.ANSWER_INCOMPLETE, str(error), reached=True
+            )
+        finally:
+            # Every path but a whole answer leaves the connection in a state
+            # in which a late answer could be taken for the next one.
+            if keep:
+                self._check_in(connection)
+            else:
+                connection.stream.abort()
+
+    async def _read_answer(
+        self, stream: streams.Stream, call: calls.Call
+    ) -> http1.Answer:
+        """Reads the answer to the call, past answers to earlier ones."""
+        for _ in range(MAX_FOREIGN_ANSWERS):
+            answer = await http1.read_answer(stream, call.method)
+            if answer.find(self._headers.request_id) == call.request_id:
+                return answer
+            # Refusals may come without an id; one that ends the connection
+            # can't be followed by another answer.
+            if (
+                answer.find(self._headers.request_id) is None
+                and answer.status >= 400
+            ):
+                return answer
+            if stream.ended:
+                break
+        raise messages.MalformedMessageError("answer to another request")
+
+    def _judge(
+        self, answer: http1.Answer, endpoint: members.Endpoint
+    ) -> calls.Outcome:
+        if answer.status == MISDIRECTED:
+            if endpoint is self.endpoint:
+                self._set_endpoint(None, "another instance has the address")
+            return calls.Refusal(
+                errors.ErrorKind.REFUSED_BY_SERVER,
+                "another instance has the address",
+                reached=True,
+            )
+        if answer.find(self._headers.not_run) is not None:
+            return calls.Refusal(
+                errors.ErrorKind.REFUSED_BY_SERVER,
+                f"status {answer.status}",
+                reached=True,
+            )
+        if (
+            answer.status < 300
+            and answer.find(self._headers.proof) is None
+        ):
+            return calls.Refusal(
+                errors.ErrorKind.ANSWER_INCOMPLETE,
+                "answer is not signed",
+                reached=True,
+            )
+        return answer
+
+    def _encode(
+        self, endpoint: members.Endpoint, call: calls.Call, remaining_ms: int
+    ) -> bytes:
+        headers = [
+            header
+            for header in call.headers
+            if header[0] not in self._set_headers
+        ]
+        headers += [
+            (self._headers.deadline_ms, b"%d" % remaining_ms),
+            (self._headers.instance, endpoint.instance.encode()),
+            (self._headers.caller, call.caller.encode()),
+        ]
+        return http1.encode_request(
+            call.method, call.target, headers, call.body
+        )
+
+    async def _check_out(self) -> _Connection:
+        now = clock.read_s()
+        while self._idle:
+            connection = self._idle.pop()
+            stream = connection.stream
+            if (
+                now - connection.idle_since < connection.max_idle_s
+                and not stream.ended
+                and not stream.buffered
+            ):
+                return connection
+            stream.close()
+        return _Connection(
+            await streams.connect(
+                self._settings.server_address, CONNECT_TIMEOUT_S
+            )
+        )
+
+    def _check_in(self, connection: _Connection) -> None:
+        connection.idle_since = clock.read_s()
+        if self.endpoint is None:
+            connection.stream.close()
+        else:
+            self._idle.append(connection)
+
+
+def _continues(
+    known: backend.Announcement, report: backend.Announcement
+) -> bool:
+    """Whether a report is not from before what is known."""
+    if report.started_ms and known.started_ms:
+        if report.started_ms != known.started_ms:
+            return report.started_ms > known.started_ms
+    elif report.instance != known.instance:
+        return True
+    if report.state is backend.BackendState.GONE:
+        return True
+    return report.sequence > known.sequence
+
+
+def _read_max_idle_s(answer: http1.Answer) -> float:
+    header = answer.find(b"keep-alive")
+    if header is None:
+        return DEFAULT_IDLE_S
+    for part in header.split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name == b"timeout" and value.isdigit():
+            return int(value) * IDLE_SHARE
+    return DEFAULT_IDLE_S
+
+
+def read_unix_ms() -> int:
+    """Returns the Unix time in milliseconds."""
+    return int(time.time() * 1000)
--- /dev/null
+++ b/src/lycheestair/sidecar/versions.py
@@ -0,0 +1,212 @@
+"""Share of each version of a service while it is rolled out."""
+
+from collections.abc import Iterable
+import dataclasses
+from typing import Final
+
+from lycheestair import ids
+from lycheestair.sidecar import clock
+from lycheestair.sidecar import members
+from lycheestair.sidecar import rollout as rollout_lib
+
+# Share of the new version from each part of the order's time on. The first
+# share lasts long enough for faults that show late; what a version that turns
+# bad at the last step has had until then stays below the exposure that the
+# operator allows.
+SCHEDULE: Final = (
+    (0.0, 0.07),
+    (0.48, 0.2),
+    (0.58, 0.45),
+    (0.66, 1.0),
+)
+COMPLETE_AT: Final = 0.8
+# Failures that are enough to judge a version, and how many more than the
+# others it may have.
+MIN_FAILURES: Final = 4
+MIN_FAILURE_SHARE: Final = 0.12
+FAILURE_FACTOR: Final = 2.5
+# Answers that are enough to judge its latency on a route, and the factor
+# against the others that counts as slow. Backend servers of one version differ
+# by less than three times.
+MIN_SLOW_ANSWERS: Final = 8
+SLOW_FACTOR: Final = 3.0
+MIN_SLOW_MS: Final = 100.0
+# A version that nobody has ordered gets no requests for this long, while
+# others serve: the order may still be on its way.
+UNKNOWN_VERSION_S: Final = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Order:
+    rollout: rollout_lib.Rollout
+    learned_at: float
+    bad: str = ""
+
+
+class VersionPlanner:
+    """Decides from orders and outcomes which versions get requests.
+
+    Every node computes the same from the same reports, so that no message is
+    needed to stop a bad version.
+    """
+
+    def __init__(self, table: members.MemberTable):
+        self._table = table
+        self._orders: dict[ids.ServiceName, _Order] = {}
+        self._seen: dict[tuple[ids.ServiceName, ids.VersionName], float] = {}
+
+    def list_rollouts(self) -> list[tuple[rollout_lib.Rollout, float]]:
+        """Returns the known rollouts and the seconds since each was learned."""
+        now = clock.read_s()
+        return [
+            (order.rollout, now - order.learned_at)
+            for order in self._orders.values()
+        ]
+
+    def take(self, rollout: rollout_lib.Rollout, age_s: float) -> bool:
+        """Takes over a rollout; returns whether it is news.
+
+        Args:
+          rollout: As the store has it.
+          age_s: Time in seconds since the sender learned of the order.
+        """
+        known = self._orders.get(rollout.service)
+        learned_at = clock.read_s() - age_s
+        if known is None:
+            self._orders[rollout.service] = _Order(rollout, learned_at)
+            return True
+        if rollout.revision <= known.rollout.revision:
+            return False
+        same = (
+            known.rollout.target == rollout.target
+            and known.rollout.created == rollout.created
+        )
+        # An order for the same version after a final state is a new one.
+        if same and known.rollout.state in rollout_lib.FINAL_STATES:
+            same = rollout.state in rollout_lib.FINAL_STATES
+        if same:
+            known.rollout = rollout
+            known.learned_at = min(known.learned_at, learned_at)
+        else:
+            self._orders[rollout.service] = _Order(rollout, learned_at)
+        return True
+
+    def find_order(
+        self, service: ids.ServiceName
+    ) -> rollout_lib.Rollout | None:
+        """Returns the rollout of a service."""
+        order = self._orders.get(service)
+        return order.rollout if order else None
+
+    def read_age_s(self, service: ids.ServiceName) -> float:
+        """Returns the seconds since the order was learned."""
+        return clock.read_s() - self._orders[service].learned_at
+
+    def read_bad_reason(self, service: ids.ServiceName) -> str:
+        """Returns why the new version counts as bad, empty if it does not."""
+        order = self._orders.get(service)
+        return order.bad if order else ""
+
+    def compute_shares(
+        self, service: ids.ServiceName, present: Iterable[ids.VersionName]
+    ) -> dict[ids.VersionName, float]:
+        """Returns the share of each version that gets requests.
+
+        Args:
+          service: The service.
+          present: Versions that have a backend server.
+        """
+        versions = self._select_known(service, set(present))
+        order = self._orders.get(service)
+        if order is None or len(versions) < 2:
+            return self._spread(versions)
+        target = order.rollout.target
+        others = versions - {target}
+        if target not in versions or not others:
+            return self._spread(versions)
+        share = self._compute_share(order)
+        if share >= 1.0:
+            return {target: 1.0}
+        return {target: share, **self._spread(others, 1.0 - share)}
+
+    def _compute_share(self, order: _Order) -> float:
+        state = order.rollout.state
+        if state is rollout_lib.RolloutState.COMPLETED:
+            return 1.0
+        if state is rollout_lib.RolloutState.ROLLED_BACK or order.bad:
+            return 0.0
+        elapsed = clock.read_s() - order.learned_at
+        part = elapsed / max(0.1, order.rollout.duration_s)
+        return max(share for start, share in SCHEDULE if part >= start)
+
+    @staticmethod
+    def _spread(
+        versions: Iterable[ids.VersionName], total: float = 1.0
+    ) -> dict[ids.VersionName, float]:
+        names = sorted(versions)
+        return {name: total / len(names) for name in names}
+
+    def _select_known(
+        self, service: ids.ServiceName, versions: set[ids.VersionName]
+    ) -> set[ids.VersionName]:
+        """Leaves out versions that nobody has ordered yet."""
+        now = clock.read_s()
+        order = self._orders.get(service)
+        first = not any(name == service for name, _ in self._seen)
+        for version in versions:
+            # What serves when the node starts has served before.
+            self._seen.setdefault(
+                (service, version), now - UNKNOWN_VERSION_S if first else now
+            )
+        known = {
+            version
+            for version in versions
+            if now - self._seen[service, version] >= UNKNOWN_VERSION_S
+            or (order is not None and order.rollout.target == version)
+        }
+        return known or versions
+
+    def judge(self) -> list[rollout_lib.Rollout]:
+        """Compares new versions with old ones; returns those found bad."""
+        found = []
+        for order in self._orders.values():
+            if order.bad or order.rollout.state in rollout_lib.FINAL_STATES:
+                continue
+            order.bad = self._find_fault(order.rollout)
+            if order.bad:
+                found.append(order.rollout)
+        return found
+
+    def _find_fault(self, rollout: rollout_lib.Rollout) -> str:
+        new: dict[ids.RouteName, list[int]] = {}
+        old: dict[ids.RouteName, list[int]] = {}
+        for member in self._table:
+            endpoint = member.endpoint
+            if endpoint is None or endpoint.service != rollout.service:
+                continue
+            if member.order_revision < rollout.created:
+                continue
+            side = new if endpoint.version == rollout.target else old
+            for count in member.counts:
+                total = side.setdefault(count.route, [0, 0, 0])
+                total[0] += count.answers
+                total[1] += count.failures
+                total[2] += count.busy_ms
+        for route, (answers, failures, busy_ms) in new.items():
+            base = old.get(route, [0, 0, 0])
+            base_share = base[1] / base[0] if base[0] else 0.0
+            limit = max(MIN_FAILURE_SHARE, FAILURE_FACTOR * base_share)
+            if failures >= MIN_FAILURES and failures > answers * limit:
+                return (
+                    f"{failures} of {answers} failed on {route},"
+                    f" {base[1]} of {base[0]} at the other versions"
+                )
+            if answers < MIN_SLOW_ANSWERS or base[0] < MIN_SLOW_ANSWERS:
+                continue
+            mean, base_mean = busy_ms / answers, base[2] / base[0]
+            if mean > max(MIN_SLOW_MS, SLOW_FACTOR * base_mean):
+                return (
+                    f"{mean:.0f} ms on {route}, {base_mean:.0f} ms at the"
+                    f" other versions"
+                )
+        return ""
