Number calls per process; refuse requests late in a shutdown

After an address had been reused, two members named the same node; each had a link to it that numbered calls from 1, so the serving node took a call of one link for a call of the other that it had answered, and sent the kept answer. Ruled out: colliding incarnations (all differ in the log), answers of the backend server (id checked). Change: call numbers are unique in the process; a member whose address has another owner is removed, and its record in the store; requests are refused as not run in the second half of the grace time. New members are tried early.

--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -36,6 +36,7 @@
 REGION_COST_MS: Final = 250.0
 REGION_ROUND_TRIP_MS: Final = 45.0
 FAILURE_COST_MS: Final = 800.0
+NEW_MEMBER_BONUS_MS: Final = 100.0
 # Time in seconds after which a client that was refused should come back if
 # nothing is known of the queues.
 DEFAULT_RETRY_AFTER_S: Final = 0.3
@@ -48,7 +49,12 @@
 
 
 class EntryNode:
-    """Answers clients and the backend server's own calls."""
+    """Answers clients and the backend server's own calls.
+
+    Attributes:
+      in_progress: Requests that are being answered.
+      closing: Whether requests are refused, because the process ends soon.
+    """
 
     def __init__(
         self,
@@ -61,6 +67,7 @@
         log: journal.Journal,
     ):
         self.in_progress = 0
+        self.closing = False
         self._settings = settings
         self._headers = headers
         self._table = table
@@ -174,7 +181,7 @@
         route = None
         tried: list[str] = []
         outcome: calls.Outcome
-        if not catalog.generation:
+        if not catalog.generation or self.closing:
             outcome = calls.Refusal(errors.ErrorKind.NOT_READY)
         else:
             route = catalog.match(request.host, request.path)
@@ -309,6 +316,7 @@
             link = self._gossip.find_link(member.record.node_id)
             if link is None:
                 return calls.Refusal(errors.ErrorKind.CONNECT_FAILED)
+            member.tried = True
             outcome = await link.call(call)
         if isinstance(outcome, http1.Answer):
             member.record_outcome(outcome.status >= FIRST_SERVER_ERROR)
@@ -370,6 +378,9 @@
         own = self._settings
         if member is self._table.own:
             return cost
+        if not member.tried and member.record.region == own.region:
+            # Shows early what a new backend server is worth.
+            return cost - NEW_MEMBER_BONUS_MS
         if member.record.region != own.region:
             return cost + REGION_COST_MS + REGION_ROUND_TRIP_MS
         if member.record.failure_domain != own.failure_domain:
--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -299,7 +299,11 @@
 
     def _note_unreachable(self) -> None:
         now = clock.read_s()
-        for member in self._table.list_others():
+        others = self._table.list_others()
+        present = {member.record.node_id for member in others}
+        for node_id in self._unreachable_since.keys() - present:
+            del self._unreachable_since[node_id]
+        for member in others:
             node_id = member.record.node_id
             if member.reachable:
                 self._unreachable_since.pop(node_id, None)
@@ -308,11 +312,14 @@
 
     async def _remove_lost(self) -> None:
         now = clock.read_s()
-        for node_id, since in list(self._unreachable_since.items()):
-            if now - since < REMOVE_AFTER_S:
+        for name, revision in list(self._record_revisions.items()):
+            node_id = ids.NodeId(name)
+            # Without a member its address has got another owner.
+            lost = self._table.find(node_id) is None
+            since = self._unreachable_since.get(node_id, now)
+            if not lost and now - since < REMOVE_AFTER_S:
                 continue
-            self._unreachable_since[node_id] = now
-            revision = self._record_revisions.get(node_id)
-            if revision is not None:
-                await self._store.delete(self._kinds.nodes, node_id, revision)
-                self._log.write("record removed", peer=node_id)
+            del self._record_revisions[name]
+            await self._store.delete(self._kinds.nodes, name, revision)
+            self._gossip.remove_member(node_id)
+            self._log.write("record removed", peer=name)
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -76,6 +76,8 @@
         """
         if record.node_id == self._table.own.record.node_id:
             return None
+        if not self._settle_address(record):
+            return None
         added = self._table.add(record)
         member = self._table.find(record.node_id)
         if added is not None and member is not None:
@@ -92,6 +94,7 @@
                 self.greet,
                 self.handle,
                 self._on_change,
+                self._take_reuse,
                 self._log,
             )
             self._links[record.node_id] = link
@@ -100,6 +103,31 @@
             link.retry()
         return member
 
+    def _settle_address(self, record: members.NodeRecord) -> bool:
+        """Removes earlier owners of an address; False if it has a later one."""
+        for member in self._table.list_others():
+            known = member.record
+            if (
+                known.address != record.address
+                or known.node_id == record.node_id
+            ):
+                continue
+            if known.incarnation > record.incarnation:
+                return False
+            self._take_reuse(member, record)
+        return True
+
+    def _take_reuse(
+        self, member: members.Member, record: members.NodeRecord
+    ) -> None:
+        self._log.write(
+            "address has a new owner",
+            peer=member.record.node_id,
+            address=record.address,
+            owner=record.node_id,
+        )
+        self.remove_member(member.record.node_id)
+
     def remove_member(self, node_id: ids.NodeId) -> None:
         """Forgets a member whose instance is gone."""
         link = self._links.pop(node_id, None)
--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -29,9 +29,25 @@
 # Without an answer for this long the connection is replaced.
 SILENCE_LIMIT_S: Final = 0.8
 
+# Numbers of calls are unique in the process: two links may lead to one node
+# for a moment, after an address has got a new owner.
+_NUMBERS: Final = itertools.count(1)
+
 FrameHandler = Callable[[members.Member, frames.Frame], None]
 
 
+class AddressReusedError(Exception):
+    """Another node answers at the address.
+
+    Attributes:
+      record: The node that answers.
+    """
+
+    def __init__(self, record: members.NodeRecord):
+        super().__init__(f"{record.node_id} answers at {record.address}")
+        self.record = record
+
+
 class _Pending:
     """A call that waits for its answer."""
 
@@ -59,6 +75,7 @@
         greet: Callable[[], list[frames.Frame]],
         on_frame: FrameHandler,
         on_change: Callable[[members.Member], None],
+        on_reuse: Callable[[members.Member, members.NodeRecord], None],
         log: journal.Journal,
     ):
         """Initializes a link that is not connected.
@@ -68,14 +85,15 @@
           greet: Returns the frames that begin a connection.
           on_frame: Handles frames that are not about calls.
           on_change: Called when the other node becomes reachable or not.
+          on_reuse: Called when the address belongs to another node now.
           log: Log of the node.
         """
         self.member = member
         self._greet = greet
         self._on_frame = on_frame
         self._on_change = on_change
+        self._on_reuse = on_reuse
         self._log = log
-        self._numbers = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
         self._stream: streams.Stream | None = None
         self._incarnation = 0
@@ -113,7 +131,7 @@
 
     async def call(self, call: calls.Call) -> calls.Outcome:
         """Sends a call and waits for its outcome."""
-        number = next(self._numbers)
+        number = next(_NUMBERS)
         pending = _Pending(call)
         if not self.send([frames.FrameType.REQUEST, number, call.encode()]):
             return calls.Refusal(errors.ErrorKind.CONNECT_FAILED)
@@ -166,6 +184,11 @@
                     await self._use(stream)
                 finally:
                     stream.abort()
+            except AddressReusedError as error:
+                # The former owner is gone, and with it all calls sent to it.
+                self._fail_pending(lambda _: True)
+                self._on_reuse(self.member, error.record)
+                return
             except OSError as error:
                 refused = isinstance(error, ConnectionRefusedError)
             except (
@@ -196,6 +219,8 @@
         if hello[0] != frames.FrameType.HELLO:
             raise messages.MalformedMessageError("no greeting")
         record = members.decode_record(hello[1])
+        if record.node_id != self.member.record.node_id:
+            raise AddressReusedError(record)
         if self._incarnation and record.incarnation != self._incarnation:
             self._fail_pending(lambda _: True)
         self._incarnation = record.incarnation
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -115,6 +115,7 @@
       load: Load that it reported last.
       sent: Requests sent to it and not answered.
       heard_at: Steady time of its last frame.
+      tried: Whether it has been sent a request in this incarnation.
     """
 
     def __init__(self, record: NodeRecord):
@@ -132,7 +133,7 @@
         self.sent = 0
         self.sent_at_report = 0
         self.heard_at = 0.0
-        self.avoided_until = 0.0
+        self.tried = False
         self._failures = 0.0
         self._failures_at = 0.0
 
@@ -147,7 +148,7 @@
         self.status_number = -1
         self.order_revision = 0
         self.counts = ()
-        self.avoided_until = 0.0
+        self.tried = False
         self._failures = 0.0
 
     def report_load(self, running: int, waiting: int, service_ms: float) -> None:
--- a/src/lycheestair/sidecar/node.py
+++ b/src/lycheestair/sidecar/node.py
@@ -24,8 +24,11 @@
 
 # Readiness checks come each second; after two misses clients stay away.
 LEAVE_S: Final = 2.6
+# Part of the grace time after which requests are refused, so that those taken
+# before can end.
+TAKE_SHARE: Final = 0.5
 # Kept free at the end of the grace time for the exit itself.
-EXIT_MARGIN_S: Final = 0.5
+EXIT_MARGIN_S: Final = 0.3
 POLL_S: Final = 0.05
 MAX_CALL_HEADER_BYTES: Final = 16_384
 MAX_CALL_BODY_BYTES: Final = 65_536
@@ -158,6 +161,7 @@
         )
         limit_s = self._settings.bounds.grace_s - EXIT_MARGIN_S
         while (elapsed := clock.read_s() - started) < limit_s:
+            self._entry.closing = elapsed > limit_s * TAKE_SHARE
             if (
                 elapsed > LEAVE_S
                 and not self._entry.in_progress
