Test the path on the platform against stand-ins of store and workers

The node has start, leave and stop, so that several run in one process; stop closes all connections.

--- a/src/lycheestair/platform/settings.py
+++ b/src/lycheestair/platform/settings.py
@@ -64,9 +64,7 @@
         server_address=_read(
             fields, "self_node.application_address", ids.Address
         ),
-        callers=_read(
-            fields, "network.listen_addresses.outbound", ids.Address
-        ),
+        callers=_read(fields, "network.listen_addresses.outbound", ids.Address),
         readiness=_read(fields, "network.listen_addresses.ready", ids.Address),
         control=_read(fields, "network.listen_addresses.control", ids.Address),
         peers=ids.Address(f"{host}:{first_port + PEER_PORT}"),
@@ -108,9 +106,7 @@
     )
 
 
-def _read(
-    fields: dict[str, str], name: str, convert: Callable[[str], T]
-) -> T:
+def _read(fields: dict[str, str], name: str, convert: Callable[[str], T]) -> T:
     value = fields.get(name)
     if not value:
         raise SettingsError(f"setting {name} is missing")
--- a/src/lycheestair/sidecar/budget.py
+++ b/src/lycheestair/sidecar/budget.py
@@ -15,9 +15,7 @@
 class RetryBudget:
     """Tokens earned by the requests for a service, spent by repeats."""
 
-    def __init__(
-        self, bounds: settings_lib.Bounds, table: members.MemberTable
-    ):
+    def __init__(self, bounds: settings_lib.Bounds, table: members.MemberTable):
         self._ratio = bounds.retry_ratio * USED_SHARE
         self._slack = bounds.retry_slack * USED_SHARE
         self._window_s = bounds.retry_window_s
@@ -48,9 +46,7 @@
 class RetryBudgets:
     """One budget for each service."""
 
-    def __init__(
-        self, bounds: settings_lib.Bounds, table: members.MemberTable
-    ):
+    def __init__(self, bounds: settings_lib.Bounds, table: members.MemberTable):
         self._bounds = bounds
         self._table = table
         self._budgets: dict[ids.ServiceName, RetryBudget] = {}
--- a/src/lycheestair/sidecar/calls.py
+++ b/src/lycheestair/sidecar/calls.py
@@ -18,7 +18,6 @@
       deadline: Steady time in seconds at which the answer is due.
       objective: Steady time in seconds until which it has its full value.
       caller: Service of the instance where the request began.
-      returned: Whether the client sends it again after a refusal.
     """
 
     request_id: bytes
@@ -71,11 +70,8 @@
     try:
         *values, deadline_ms, objective_ms = fields
         now = clock.read_s()
-        call = Call(
-            *values,
-            deadline=now + deadline_ms / 1000,
-            objective=now + objective_ms / 1000,
-        )
+        values += [now + deadline_ms / 1000, now + objective_ms / 1000]
+        call = Call(*values)
         call.headers = [(name, value) for name, value in call.headers]
         return call
     except TypeError as error:
@@ -99,9 +95,7 @@
     @property
     def not_run(self) -> bool:
         """Whether the request has certainly not run."""
-        return (
-            errors.ANSWERS[self.kind].execution is errors.Execution.NOT_RUN
-        )
+        return errors.ANSWERS[self.kind].execution is errors.Execution.NOT_RUN
 
 
 Outcome = http1.Answer | Refusal
--- a/src/lycheestair/sidecar/catalog.py
+++ b/src/lycheestair/sidecar/catalog.py
@@ -164,9 +164,7 @@
     try:
         generation, base, removed, routes, services, limits = document
         if base not in (0, old.generation):
-            raise CatalogError(
-                f"change continues {base}, not {old.generation}"
-            )
+            raise CatalogError(f"change continues {base}, not {old.generation}")
         merged = dict(old.routes) if base else {}
         for name in removed:
             merged.pop(name, None)
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -137,7 +137,11 @@
     ) -> http1.Answer | None:
         """Returns the answer; None once the client has left."""
         task = asyncio.get_running_loop().create_task(self.answer(request))
-        stream.on_end = task.cancel
+
+        def cancel() -> None:
+            task.cancel()
+
+        stream.on_end = cancel
         if stream.ended:
             task.cancel()
         try:
@@ -165,6 +169,11 @@
         await stream.drain()
         return False
 
+    def close(self) -> None:
+        """Closes all connections."""
+        for stream in list(self._connections):
+            stream.close()
+
     def close_idle(self) -> None:
         """Closes connections on which no request is in progress."""
         for stream in list(self._idle):
@@ -256,8 +265,7 @@
             instance="",
             idempotent=route.idempotent,
             priority=route.priority,
-            deadline=arrived
-            + min(wait_s - ANSWER_MARGIN_S, route.timeout_s),
+            deadline=arrived + min(wait_s - ANSWER_MARGIN_S, route.timeout_s),
             objective=arrived + route.objective_s,
         )
 
--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -269,9 +269,11 @@
         state = rollout_lib.RolloutState.RUNNING
         if self._planner.read_bad_reason(rollout.service):
             state = rollout_lib.RolloutState.ROLLED_BACK
-        elif age_s > rollout.duration_s * versions_lib.COMPLETE_AT:
-            if rollout.target in self._table.list_versions(rollout.service):
-                state = rollout_lib.RolloutState.COMPLETED
+        elif (
+            age_s > rollout.duration_s * versions_lib.COMPLETE_AT
+            and rollout.target in self._table.list_versions(rollout.service)
+        ):
+            state = rollout_lib.RolloutState.COMPLETED
         if state is rollout.state:
             return
         result: Any = await self._store.put_status(
@@ -281,9 +283,7 @@
             rollout.revision,
         )
         item = (
-            result.current
-            if isinstance(result, store_lib.Conflict)
-            else result
+            result.current if isinstance(result, store_lib.Conflict) else result
         )
         self._log.write(
             "rollout status written"
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -1,6 +1,7 @@
 """Exchange of members, loads, configurations and rollouts between nodes."""
 
 import asyncio
+import dataclasses
 from typing import Any
 from typing import Final
 
@@ -209,8 +210,10 @@
             )
         decoded = None
         if endpoint is not None:
-            *values, state = endpoint
-            decoded = members.Endpoint(*values, backend.BackendState(state))
+            instance, service, version, slots, state = endpoint
+            decoded = members.Endpoint(
+                instance, service, version, slots, backend.BackendState(state)
+            )
         if decoded != member.endpoint:
             self._log.write(
                 "endpoint changed",
@@ -235,15 +238,15 @@
                     self._server.counts.clear()
                 if order.state not in rollout_lib.FINAL_STATES:
                     revision = order.created
-                    counts = [
-                        [route, *count]
-                        for route, count in self._server.counts.items()
-                    ]
                     own = self._table.own
                     own.order_revision = revision
                     own.counts = tuple(
-                        members.RouteCount(*count) for count in counts
+                        members.RouteCount(route, *count)
+                        for route, count in self._server.counts.items()
                     )
+                    counts = [
+                        dataclasses.astuple(count) for count in own.counts
+                    ]
         return [
             self._status_number,
             None
@@ -366,9 +369,7 @@
 
     # Rollouts.
 
-    def take_rollout(
-        self, rollout: rollout_lib.Rollout, age_s: float
-    ) -> bool:
+    def take_rollout(self, rollout: rollout_lib.Rollout, age_s: float) -> bool:
         """Takes over a rollout; returns whether it is news."""
         if not self._planner.take(rollout, age_s):
             return False
@@ -421,6 +422,11 @@
 
     # Periodic work.
 
+    def stop(self) -> None:
+        """Closes all links."""
+        for link in self._links.values():
+            link.stop()
+
     async def run(self) -> None:
         """Sends the own status and checks links until cancelled."""
         while True:
--- a/src/lycheestair/sidecar/http1.py
+++ b/src/lycheestair/sidecar/http1.py
@@ -155,9 +155,7 @@
     return Answer(status, head.headers, body, keep)
 
 
-async def _read_body(
-    stream: streams.Stream, framing: int, limit: int
-) -> bytes:
+async def _read_body(stream: streams.Stream, framing: int, limit: int) -> bytes:
     if framing > limit:
         raise messages.BodyTooLargeError("body is too large")
     if framing != CHUNKED:
@@ -175,9 +173,7 @@
             raise messages.MalformedMessageError("malformed chunk")
     size = 0
     while (
-        line := await stream.read_until(
-            b"\r\n", MAX_TRAILER_BYTES - size, True
-        )
+        line := await stream.read_until(b"\r\n", MAX_TRAILER_BYTES - size, True)
     ) != b"\r\n":
         size += len(line)
     return b"".join(chunks)
--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -230,9 +230,7 @@
         self._on_frame(self.member, hello)
         self._set_reachable(True)
         for number, pending in list(self._pending.items()):
-            self.send(
-                [frames.FrameType.REQUEST, number, pending.call.encode()]
-            )
+            self.send([frames.FrameType.REQUEST, number, pending.call.encode()])
         while True:
             frame = await frames.read(stream)
             self._heard_at = self.member.heard_at = clock.read_s()
@@ -308,6 +306,4 @@
             status, [(name, value) for name, value in headers], body
         )
     _, _, _, kind, detail, reached, retry_after_s = frame
-    return calls.Refusal(
-        errors.ErrorKind(kind), detail, reached, retry_after_s
-    )
+    return calls.Refusal(errors.ErrorKind(kind), detail, reached, retry_after_s)
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -151,7 +151,9 @@
         self.tried = False
         self._failures = 0.0
 
-    def report_load(self, running: int, waiting: int, service_ms: float) -> None:
+    def report_load(
+        self, running: int, waiting: int, service_ms: float
+    ) -> None:
         """Takes over a load report."""
         self.load.running = running
         self.load.waiting = waiting
@@ -176,7 +178,7 @@
         if not self._failures:
             return 0.0
         age = clock.read_s() - self._failures_at
-        return self._failures * 0.5 ** (age / FAILURE_HALF_LIFE_S)
+        return float(self._failures * 0.5 ** (age / FAILURE_HALF_LIFE_S))
 
 
 class MemberTable:
--- a/src/lycheestair/sidecar/node.py
+++ b/src/lycheestair/sidecar/node.py
@@ -1,6 +1,7 @@
 """One sidecar node: entry, serving, gossip and feeder in one process."""
 
 import asyncio
+from collections.abc import Callable
 import signal
 from typing import Final
 from typing import Protocol
@@ -38,10 +39,21 @@
 class Platform(Protocol):
     """What a node needs of the platform it runs on."""
 
-    headers: backend.HeaderNames
-    kinds: store_lib.Kinds
-    codec: store_lib.DocumentCodec
-    readiness_path: str
+    @property
+    def headers(self) -> backend.HeaderNames:
+        """Names of the headers with a meaning."""
+
+    @property
+    def kinds(self) -> store_lib.Kinds:
+        """Names of the kinds of objects in the store."""
+
+    @property
+    def codec(self) -> store_lib.DocumentCodec:
+        """Decodes the documents in the store."""
+
+    @property
+    def readiness_path(self) -> str:
+        """Path of readiness checks."""
 
     def connect_store(self, address: ids.Address) -> store_lib.MetadataStore:
         """Returns a client of the store."""
@@ -64,6 +76,8 @@
         self._settings = settings
         self._platform = platform
         self._log = journal.Journal(settings.node_id)
+        self._listeners: list[asyncio.Server] = []
+        self._tasks: list[asyncio.Task[None]] = []
         own = members.NodeRecord(
             settings.node_id,
             settings.peers,
@@ -114,6 +128,23 @@
         loop.add_signal_handler(signal.SIGTERM, stop.set)
         loop.add_signal_handler(signal.SIGINT, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.start()
+        stopping = loop.create_task(stop.wait())
+        await asyncio.wait(
+            [stopping, *self._tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in self._tasks:
+            if task.done():
+                task.result()
+        await self.leave()
+        self.stop()
+
+    async def start(self) -> None:
+        """Starts to listen, and to learn what to serve.
+
+        Raises:
+          OSError: A listener can't be bound.
+        """
         settings = self._settings
         self._log.write(
             "node starts",
@@ -122,33 +153,35 @@
             failure_domain=settings.failure_domain,
             incarnation=self._table.own.record.incarnation,
         )
-        servers = [
-            await streams.listen(settings.peers, self._peers.serve),
-            await streams.listen(settings.readiness, self._serve_readiness),
-            await streams.listen(settings.control, self._serve_control),
-            await streams.listen(settings.callers, self._entry.serve),
-        ]
-        tasks = [
+        for address, serve in (
+            (settings.peers, self._peers.serve),
+            (settings.readiness, self._serve_readiness),
+            (settings.control, self._serve_control),
+            (settings.callers, self._entry.serve),
+        ):
+            self._listeners.append(await streams.listen(address, serve))
+        loop = asyncio.get_running_loop()
+        self._tasks = [
             loop.create_task(self._gossip.run()),
             loop.create_task(self._feeder.run()),
         ]
-        stopping = loop.create_task(stop.wait())
-        await asyncio.wait(
-            [stopping, *tasks], return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in tasks:
-            if task.done():
-                task.result()
-        await self._leave()
-        for server in servers:
-            server.close()
+
+    def stop(self) -> None:
+        """Ends at once; requests in progress are cut."""
+        for task in self._tasks:
+            task.cancel()
+        for listener in self._listeners:
+            listener.close()
+        self._gossip.stop()
+        self._peers.close()
+        self._entry.close()
         self._log.write("node ends")
 
     def _reload(self) -> None:
         # All settings that a node reads stay the same for its process.
         self._log.write("settings reloaded", changed=False)
 
-    async def _leave(self) -> None:
+    async def leave(self) -> None:
         """Answers what is in progress and what still comes, then returns."""
         started = clock.read_s()
         self._gossip.leaving = True
@@ -186,7 +219,11 @@
     async def _serve_control(self, stream: streams.Stream) -> None:
         await self._serve_calls(stream, self._answer_announcement)
 
-    async def _serve_calls(self, stream, answer) -> None:
+    async def _serve_calls(
+        self,
+        stream: streams.Stream,
+        answer: Callable[[http1.Request], http1.Answer],
+    ) -> None:
         try:
             while True:
                 async with asyncio.timeout(CALL_IDLE_S):
--- a/src/lycheestair/sidecar/peer_server.py
+++ b/src/lycheestair/sidecar/peer_server.py
@@ -73,6 +73,11 @@
         """Calls that are not answered."""
         return sum(1 for call in self._calls.values() if call.outcome is None)
 
+    def close(self) -> None:
+        """Closes all connections."""
+        for stream in list(self._streams):
+            stream.abort()
+
     async def serve(self, stream: streams.Stream) -> None:
         """Serves one connection until it ends."""
         member = None
@@ -188,9 +193,7 @@
             )
         running.stream.write(
             frames.encode(
-                links.encode_outcome(
-                    running.number, self._read_load(), outcome
-                )
+                links.encode_outcome(running.number, self._read_load(), outcome)
             )
         )
 
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import time
 from typing import Final
 
@@ -59,7 +60,7 @@
     ):
         self.admission = admission_lib.Admission()
         self.endpoint: members.Endpoint | None = None
-        self.changed = lambda: None
+        self.changed: Callable[[], None] = lambda: None
         self.counts: dict[ids.RouteName, list[int]] = {}
         self._settings = settings
         self._headers = headers
@@ -292,10 +293,7 @@
                 f"status {answer.status}",
                 reached=True,
             )
-        if (
-            answer.status < 300
-            and answer.find(self._headers.proof) is None
-        ):
+        if answer.status < 300 and answer.find(self._headers.proof) is None:
             return calls.Refusal(
                 errors.ErrorKind.ANSWER_INCOMPLETE,
                 "answer is not signed",
--- a/src/lycheestair/sidecar/streams.py
+++ b/src/lycheestair/sidecar/streams.py
@@ -111,9 +111,7 @@
     @property
     def unsent(self) -> int:
         """Bytes written and not yet handed to the kernel."""
-        return (
-            self._transport.get_write_buffer_size() if self._transport else 0
-        )
+        return self._transport.get_write_buffer_size() if self._transport else 0
 
     async def fill(self, started: bool) -> None:
         """Waits for more bytes.
--- /dev/null
+++ b/tests/platform_standins.py
@@ -0,0 +1,390 @@
+"""Stand-ins for the platform: its store, and backend servers."""
+
+import asyncio
+import collections
+import dataclasses
+import time
+import urllib.parse
+
+import orjson
+
+from lycheestair import messages
+from lycheestair.sidecar import http1
+from lycheestair.sidecar import streams
+
+PAGE = 3
+HISTORY = 200
+PROOF = b"x-server-stamp"
+
+
+def make_config(version, routes, idle_s=15):
+    """Encodes a configuration: routes are (name, prefix, kind, split)."""
+    return {
+        "version": f"r{version}",
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_s": 3,
+            "idle_timeout_s": idle_s,
+        },
+        "listeners": [
+            {
+                "host": "shop.example",
+                "routing_rules": [
+                    {
+                        "name": name,
+                        "kind": kind,
+                        "target_latency_s": 0.5,
+                        "priority": 1,
+                        "match": {"path_prefix": prefix},
+                        "action": {
+                            "traffic_split": [
+                                {"service": service, "weight": weight}
+                                for service, weight in split
+                            ],
+                            "timeout_s": 1.5,
+                            "max_attempts": 2,
+                        },
+                    }
+                    for name, prefix, kind, split in routes
+                ],
+            }
+        ],
+        "clusters": [
+            {
+                "name": service,
+                "health_check_path": "/health",
+                "connection_limit": 50,
+                "protocol": "h1",
+                "tls": False,
+            }
+            for service in sorted(
+                {service for route in routes for service, _ in route[3]}
+            )
+        ],
+    }
+
+
+@dataclasses.dataclass
+class StoreFaults:
+    """Faults of the store that are in force."""
+
+    down: bool = False
+    silent: bool = False
+    lose_writes: int = 0
+    limited: bool = False
+
+
+class PlatformStore:
+    """The platform's object store, as its page describes it."""
+
+    def __init__(self, address):
+        self.address = address
+        self.faults = StoreFaults()
+        self.calls = collections.Counter()
+        self.revision = 10
+        self.objects = {}
+        self.history = collections.deque(maxlen=HISTORY)
+        self.oldest = 10
+        self._changed = asyncio.Event()
+        self._listener = None
+
+    async def start(self):
+        self._listener = await streams.listen(self.address, self._serve)
+
+    def stop(self):
+        self._listener.close()
+
+    # The operator's side.
+
+    def put(self, kind, name, value):
+        key = (kind, name)
+        known = self.objects.get(key)
+        self.revision += 1
+        self._store(
+            kind,
+            {
+                "metadata": {
+                    "name": name,
+                    "revision": self.revision,
+                    "creation_revision": known["metadata"]["creation_revision"]
+                    if known
+                    else self.revision,
+                    "finalizers": [],
+                    "delete_requested": False,
+                },
+                "specification": value,
+                "status": known["status"] if known else None,
+            },
+        )
+
+    def compact(self):
+        """Forgets the history."""
+        self.history.clear()
+        self.oldest = self.revision
+        self._wake()
+
+    def read_status(self, kind, name):
+        return self.objects[kind, name]["status"]
+
+    def _store(self, kind, document, deleted=False):
+        key = (kind, document["metadata"]["name"])
+        if deleted:
+            self.objects.pop(key, None)
+        else:
+            self.objects[key] = document
+        self.history.append((self.revision, kind, document, deleted))
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    # The nodes' side.
+
+    async def _serve(self, stream):
+        try:
+            while True:
+                request = await http1.read_request(stream, 16384, 2_000_000)
+                self.calls[request.method.decode()] += 1
+                if self.faults.silent:
+                    await asyncio.sleep(30)
+                    return
+                status, document = await self._answer(request)
+                if (
+                    request.method != b"GET"
+                    and self.faults.lose_writes
+                    and status < 300
+                ):
+                    self.faults.lose_writes -= 1
+                    return
+                stream.write(
+                    http1.encode_answer(
+                        http1.Answer(status, [], orjson.dumps(document)),
+                        request.method,
+                        True,
+                    )
+                )
+        except (OSError, messages.IncompleteMessageError):
+            return
+
+    async def _answer(self, request):
+        if self.faults.down:
+            return 503, {"error": "down"}
+        if self.faults.limited:
+            return 429, {"error": "too many calls"}
+        path, _, query = request.target.decode().partition("?")
+        fields = dict(urllib.parse.parse_qsl(query))
+        kind, _, rest = path.removeprefix("/-/objects/").partition("/")
+        name, _, part = rest.partition("/")
+        if request.method == b"GET" and not name:
+            if "watch" in fields:
+                return await self._watch(kind, fields)
+            return 200, self._list(kind, fields.get("after", ""))
+        document = orjson.loads(request.body) if request.body else {}
+        if request.method == b"POST":
+            name = document["metadata"]["name"]
+            if (kind, name) in self.objects:
+                return 409, self.objects[kind, name]
+            self.put(kind, name, document["specification"])
+            return 200, self.objects[kind, name]
+        known = self.objects.get((kind, name))
+        if known is None:
+            return 404, {"error": "not found"}
+        if request.method == b"GET":
+            return 200, known
+        revision = document.get("metadata", {}).get(
+            "revision", int(fields.get("revision", 0))
+        )
+        if revision and revision != known["metadata"]["revision"]:
+            return 409, known
+        if request.method == b"DELETE":
+            self.revision += 1
+            self._store(kind, known, deleted=True)
+            return 200, {}
+        member = "status" if part == "status" else "specification"
+        if known[member] != document[member]:
+            self.revision += 1
+            changed = {**known, member: document[member]}
+            changed["metadata"] = {
+                **known["metadata"],
+                "revision": self.revision,
+            }
+            self._store(kind, changed)
+        return 200, self.objects[kind, name]
+
+    def _list(self, kind, after):
+        items = [
+            document
+            for (found, name), document in sorted(self.objects.items())
+            if found == kind and name > after
+        ]
+        return {
+            "items": items[:PAGE],
+            "has_more": len(items) > PAGE,
+            "at": self.revision,
+        }
+
+    async def _watch(self, kind, fields):
+        since = int(fields["watch"])
+        limit = time.monotonic() + int(fields.get("wait_ms", 0)) / 1000
+        while True:
+            if since < self.oldest:
+                return 410, {"error": "history is gone"}
+            events = [
+                {"object": document, "deleted": deleted}
+                for revision, found, document, deleted in self.history
+                if found == kind and revision > since
+            ]
+            left = limit - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "at": self.revision}
+            changed = self._changed
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+
+
+@dataclasses.dataclass
+class Seen:
+    """A request that reached a backend server."""
+
+    request: http1.Request
+    at: float
+
+
+class BackendServer:
+    """A worker of the platform: announces itself and runs requests."""
+
+    def __init__(
+        self, address, control, instance, service, version="v1", slots=4
+    ):
+        self.address = address
+        self.control = control
+        self.instance = instance
+        self.service = service
+        self.version = version
+        self.slots = slots
+        self.state = "ready"
+        self.started_ms = 1_000
+        self.work_s = 0.01
+        self.status = 200
+        self.seen = []
+        self.running = 0
+        self.cut = 0
+        # Called with the request and the stream instead of an answer.
+        self.misbehave = None
+        self._sequence = 0
+        self._listener = None
+
+    async def start(self):
+        self._listener = await streams.listen(self.address, self._serve)
+
+    def stop(self):
+        self._listener.close()
+
+    async def announce(self, **changes):
+        """Sends a heartbeat; returns the status of the answer."""
+        self._sequence += 1
+        body = {
+            "address": self.address,
+            "born": self.started_ms,
+            "information": {
+                "service": self.service,
+                "version": self.version,
+                "zone": "z",
+                "slots": self.slots,
+            },
+            "status": {
+                "state": self.state,
+                "sequence": self._sequence,
+                "cold_remaining_s": 0,
+            },
+        }
+        body.update(changes)
+        return await self._call("instances.heartbeat", orjson.dumps(body))
+
+    async def deregister(self):
+        return await self._call("instances.deregister", b"")
+
+    async def _call(self, name, body):
+        answer = await send(
+            self.control,
+            b"POST",
+            f"/-/rpc?call={name}&of={self.instance}".encode(),
+            [(b"host", b"control")],
+            body,
+        )
+        return answer.status
+
+    async def _serve(self, stream):
+        try:
+            while True:
+                request = await http1.read_request(stream, 16384, 2_000_000)
+                await self._run(stream, request)
+        except (OSError, messages.IncompleteMessageError):
+            return
+
+    async def _run(self, stream, request):
+        expected = request.find(b"x-expected-instance")
+        if expected != self.instance.encode():
+            stream.write(
+                http1.encode_answer(
+                    http1.Answer(421, [], b""), request.method, True
+                )
+            )
+            return
+        self.seen.append(Seen(request, time.monotonic()))
+        if self.misbehave is not None:
+            await self.misbehave(request, stream)
+            return
+        self.running += 1
+        work = asyncio.get_running_loop().create_task(
+            asyncio.sleep(self.work_s)
+        )
+
+        def cut():
+            self.cut += not work.done()
+            work.cancel()
+
+        stream.on_end = cut
+        try:
+            await work
+        except asyncio.CancelledError:
+            raise messages.IncompleteMessageError(True) from None
+        finally:
+            stream.on_end = None
+            self.running -= 1
+        stream.write(self.encode(request))
+
+    def encode(self, request, body=b"done", request_id=None):
+        """Returns the bytes of a good answer."""
+        return http1.encode_answer(
+            http1.Answer(
+                self.status,
+                [
+                    (
+                        b"x-request-id",
+                        request_id or request.find(b"x-request-id"),
+                    ),
+                    (PROOF, self.instance.encode()),
+                    (b"keep-alive", b"timeout=10"),
+                ],
+                body,
+            ),
+            request.method,
+            True,
+        )
+
+
+async def send(address, method, target, headers, body=b"", timeout_s=5.0):
+    """Sends a request on a new connection; returns the whole answer."""
+    stream = await streams.connect(address, 1.0)
+    try:
+        stream.write(http1.encode_request(method, target, headers, body))
+        async with asyncio.timeout(timeout_s):
+            return await http1.read_answer(stream, method)
+    finally:
+        stream.close()
