Keep queues short under overload; test rollouts and the adapter's boundary

Change: a call that can meet its objective waits no longer than that allows; others go behind it. Calls of clients that come back count from their first attempt. Tests of rollouts, settings and the adapter's boundary.

--- a/src/lycheestair/sidecar/admission.py
+++ b/src/lycheestair/sidecar/admission.py
@@ -14,9 +14,12 @@
 INITIAL_SERVICE_S: Final = 0.15
 # Weight of the latest request in the moving average of the service time.
 SERVICE_WEIGHT: Final = 0.1
-# Part of the time left that a request may wait in the queue: behind the
-# objective an answer is worth less, but more than a refusal.
-MAX_WAIT_SHARE: Final = 0.5
+# Part of the time left that a request may wait once it can't meet its
+# objective: an answer is worth less then, but more than a refusal.
+LATE_WAIT_SHARE: Final = 0.3
+# A request that could just meet its objective may wait this long at least, so
+# that small variations of the load don't refuse it.
+MIN_WAIT_S: Final = 0.03
 MIN_RETRY_AFTER_S: Final = 0.1
 MAX_RETRY_AFTER_S: Final = 1.0
 
@@ -24,6 +27,7 @@
 @dataclasses.dataclass(order=True, slots=True)
 class _Waiter:
     priority: int
+    late: bool
     number: int
     latest_start: float = dataclasses.field(compare=False)
     outcome: asyncio.Future[calls.Refusal | None] = dataclasses.field(
@@ -34,6 +38,10 @@
 class Admission:
     """Admits calls to the slots by priority, then by arrival.
 
+    A call that can't meet its objective any more goes behind those of its
+    priority that can: under overload a short queue serves some in time, a
+    long one none.
+
     Attributes:
       slots: Requests that the backend server runs at the same time.
     """
@@ -69,10 +77,12 @@
         ages = sum(now - start for start in self._starts.values())
         return max(self._service_s, ages / len(self._starts))
 
-    def predict_wait_s(self, priority: int) -> float:
+    def predict_wait_s(self, priority: int, late: bool = False) -> float:
         """Returns the time in seconds that a new call would wait."""
         ahead = bisect.bisect_right(
-            self._waiters, priority, key=lambda waiter: waiter.priority
+            self._waiters,
+            (priority, late),
+            key=lambda waiter: (waiter.priority, waiter.late),
         )
         excess = self._running + ahead + 1 - self.slots
         if excess <= 0:
@@ -87,12 +97,21 @@
         if not self._waiters and self._running < self.slots:
             self._start(id(call))
             return None
-        latest = now + (call.deadline - now) * MAX_WAIT_SHARE
-        wait_s = self.predict_wait_s(call.priority)
-        if now + wait_s > latest:
+        spare_s = call.objective - now - self.service_s
+        late = spare_s < 0
+        remaining_s = call.deadline - now
+        limit_s = (
+            remaining_s * LATE_WAIT_SHARE if late else max(MIN_WAIT_S, spare_s)
+        )
+        wait_s = self.predict_wait_s(call.priority, late)
+        if wait_s > limit_s:
             return self._refuse(wait_s)
+        # A call that more urgent ones have overtaken may be late, but not so
+        # late that its client has given up.
+        latest = now + max(limit_s, remaining_s * LATE_WAIT_SHARE)
         waiter = _Waiter(
             call.priority,
+            late,
             next(self._numbers),
             latest,
             asyncio.get_running_loop().create_future(),
@@ -106,7 +125,7 @@
                 refusal = waiter.outcome.result()
             else:
                 self._waiters.remove(waiter)
-                return self._refuse(self.predict_wait_s(call.priority))
+                return self._refuse(self.predict_wait_s(call.priority, late))
         except asyncio.CancelledError:
             if not waiter.outcome.done():
                 self._waiters.remove(waiter)
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -28,6 +28,9 @@
 # Serving nodes that are asked for one request; a refusal by a node costs no
 # work, but the request waits meanwhile.
 MAX_OFFERS: Final = 4
+# Nodes with a full queue that one request is offered to: the nearest and the
+# least loaded are asked first, so that a third would hardly have room.
+MAX_OVERLOADED: Final = 2
 # The answer has to reach the client before it stops waiting.
 ANSWER_MARGIN_S: Final = 0.02
 # What a request costs on a way beside its time, as milliseconds of waiting:
@@ -75,6 +78,8 @@
         self._planner = planner
         self._server = server
         self._log = log
+        # Longest time in seconds that a client of a route has waited.
+        self._full_wait_s: dict[ids.RouteName, float] = {}
         self._budgets = budget.RetryBudgets(settings.bounds, table)
         self._connections: set[streams.Stream] = set()
         self._idle: set[streams.Stream] = set()
@@ -248,10 +253,12 @@
         route: catalog_lib.Route,
         arrived: float,
     ) -> calls.Call:
-        wait_s = DEFAULT_DEADLINE_S
+        wait_s = full_s = DEFAULT_DEADLINE_S
         with contextlib.suppress(ValueError):
             # A missing or malformed value leaves the route's own limit.
             wait_s = int(request.find(self._headers.deadline_ms) or b"") / 1000
+            full_s = max(wait_s, self._full_wait_s.get(route.name, 0.0))
+            self._full_wait_s[route.name] = full_s
         return calls.Call(
             request_id=request_id,
             method=request.method,
@@ -266,7 +273,9 @@
             idempotent=route.idempotent,
             priority=route.priority,
             deadline=arrived + min(wait_s - ANSWER_MARGIN_S, route.timeout_s),
-            objective=arrived + route.objective_s,
+            # A client that comes back counts from its first attempt; what is
+            # missing of its usual time has passed since then.
+            objective=arrived + route.objective_s - (full_s - wait_s),
         )
 
     async def _run(
@@ -275,7 +284,7 @@
         """Makes attempts until one counts as the outcome."""
         retries = self._budgets.find(call.service)
         retries.add_request()
-        reached = 0
+        reached = overloaded = 0
         last: calls.Outcome | None = None
         excluded: set[ids.NodeId] = set()
         while len(tried) < MAX_OFFERS:
@@ -296,6 +305,9 @@
                 if last.kind is errors.ErrorKind.TIMEOUT:
                     return last
                 reached += last.reached
+                overloaded += last.kind is errors.ErrorKind.OVERLOADED
+                if overloaded >= MAX_OVERLOADED:
+                    return last
             if reached and (
                 reached >= route.max_attempts or not retries.try_spend()
             ):
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -6,12 +6,12 @@
 import socket
 import time
 
+import platform_standins as standins
+
 from lycheestair.platform import program
 from lycheestair.platform import settings as settings_lib
 from lycheestair.sidecar import node as node_lib
 
-import platform_standins as standins
-
 HOST = "127.0.0.1"
 _IDS = itertools.count(1)
 
--- /dev/null
+++ b/tests/test_platform_boundary.py
@@ -0,0 +1,80 @@
+"""The platform's names stay in its adapter; its settings are checked."""
+
+import pathlib
+import re
+
+import platform_world
+import pytest
+
+from lycheestair.platform import settings as settings_lib
+
+SOURCE = pathlib.Path(__file__).parent.parent / "src" / "lycheestair"
+# Names that no other program than the platform's uses.
+WIRE_NAMES = re.compile(
+    r"x-request-id|x-deadline-ms|x-server-stamp|x-expected-instance"
+    r"|x-not-executed|x-server-load|x-caller-service|instances\.heartbeat"
+    r"|instances\.deregister|traffic_split|routing_rules|cold_remaining"
+    r"|heartbeat_address|self_node|application_address|wait_ms|has_more"
+    r"|creation_revision|/-/|rollouts/|max_stretch_s",
+    re.IGNORECASE,
+)
+GOOD = platform_world.SETTINGS.format(
+    name="n1",
+    zone="a1",
+    region="north",
+    application="127.0.0.1:5",
+    service="desk",
+    outbound="127.0.0.1:1",
+    ready="127.0.0.1:2",
+    control="127.0.0.1:3",
+    port="7660",
+    store="127.0.0.1:4",
+)
+
+
+def test_no_name_of_the_platform_stands_outside_its_adapter():
+    """Guards the boundary that keeps the product independent."""
+    found = [
+        f"{path.relative_to(SOURCE)}: {match[0]}"
+        for path in SOURCE.rglob("*.py")
+        if path.parent.name != "platform"
+        for match in WIRE_NAMES.finditer(path.read_text())
+    ]
+    assert not found
+
+
+def test_adapter_is_small_and_imports_no_part_that_keys_need():
+    """Guards memory: the lean node must not import the product's large parts."""
+    lean = [*SOURCE.glob("sidecar/*.py"), *SOURCE.glob("platform/*.py")]
+    text = "\n".join(path.read_text() for path in lean)
+    for module in ("grpc", "pydantic", "numpy", "opentelemetry", "cheroot"):
+        assert not re.search(rf"^(import|from) {module}", text, re.MULTILINE)
+    adapter = sum(
+        len(path.read_text().splitlines())
+        for path in SOURCE.glob("platform/*.py")
+    )
+    assert adapter < 800
+
+
+def test_settings_are_decoded_and_unknown_fields_ignored():
+    """Guards against a later release of the platform that adds fields."""
+    settings = settings_lib.decode(GOOD)
+    assert settings.node_id == "n1"
+    assert settings.peers == "127.0.0.1:7660"
+    assert settings.zones == {"a1": "north", "b1": "south"}
+    assert settings.bounds.drain_s == 2.5
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "error"),
+    [
+        ("self_node.node_name=n1\n", "", "self_node.node_name is missing"),
+        ("interval_s=1.5", "interval_s=often", "heartbeat_interval_s"),
+        ("drain_s=2.5", "drain_s=x", "drain_s"),
+    ],
+)
+def test_missing_or_malformed_setting_is_named(old, new, error):
+    """Guards against a start that fails without saying which setting."""
+    assert old in GOOD
+    with pytest.raises(settings_lib.SettingsError, match=error):
+        settings_lib.decode(GOOD.replace(old, new))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,12 +3,12 @@
 import asyncio
 import re
 
-from lycheestair.sidecar import http1
-from lycheestair.sidecar import streams
-import pytest
-
 import platform_standins as standins
 import platform_world
+import pytest
+
+from lycheestair.sidecar import http1
+from lycheestair.sidecar import streams
 
 DESKS = (("n1", "desk"), ("n2", "desk"), ("n3", "press"))
 
--- /dev/null
+++ b/tests/test_platform_rollouts.py
@@ -0,0 +1,189 @@
+"""Rollouts on the platform: good ones completed, bad ones rolled back."""
+
+import asyncio
+
+import platform_standins as standins
+import platform_world
+import pytest
+
+from lycheestair import ids
+from lycheestair.sidecar import members
+from lycheestair.sidecar import rollout as rollout_lib
+from lycheestair.sidecar import versions as versions_lib
+
+SERVICE = ids.ServiceName("desk")
+ROUTE = ids.RouteName("view")
+
+
+def make_rollout(
+    state=rollout_lib.RolloutState.ORDERED, revision=5, target="v2"
+):
+    return rollout_lib.Rollout(SERVICE, target, 10.0, state, revision, 5)
+
+
+def make_planner(*counts):
+    """Returns a planner; counts are (version, answers, failures, busy_ms)."""
+    table = members.MemberTable(
+        members.NodeRecord("n0", "127.0.0.1:1", "a1", "north", 1)
+    )
+    for number, (version, *count) in enumerate(counts, 1):
+        member = table.add(
+            members.NodeRecord(
+                f"n{number}", f"127.0.0.1:{number}", "a1", "north", 1
+            )
+        )
+        member.endpoint = members.Endpoint(
+            f"i{number}",
+            SERVICE,
+            version,
+            4,
+            members.backend.BackendState.SERVING,
+        )
+        member.order_revision = 5
+        member.counts = (members.RouteCount(ROUTE, *count),)
+    table.index()
+    planner = versions_lib.VersionPlanner(table)
+    return planner
+
+
+@pytest.mark.parametrize(
+    ("new", "old", "bad"),
+    [
+        ((30, 15, 3000), (300, 1, 30000), True),
+        ((8, 4, 800), (100, 0, 10000), True),
+        ((30, 0, 24000), (300, 0, 30000), True),
+        ((30, 1, 3000), (300, 3, 30000), False),
+        ((30, 0, 7500), (300, 0, 30000), False),
+        # A fault that all versions have is not the new version's.
+        ((30, 12, 3000), (300, 100, 30000), False),
+        # Too few answers to tell.
+        ((3, 3, 300), (300, 0, 30000), False),
+    ],
+)
+def test_version_is_judged_against_the_others(new, old, bad):
+    """Guards the verdict against thin traffic and shared faults."""
+    planner = make_planner(("v1", *old), ("v2", *new))
+    planner.take(make_rollout(), 1.0)
+    assert bool(planner.judge()) == bad
+    shares = planner.compute_shares(SERVICE, ["v1", "v2"])
+    assert (shares.get("v2", 0) == 0) == bad
+
+
+@pytest.mark.parametrize(
+    ("age_s", "state", "share"),
+    [
+        (0.0, rollout_lib.RolloutState.ORDERED, 0.07),
+        (4.0, rollout_lib.RolloutState.RUNNING, 0.07),
+        (7.0, rollout_lib.RolloutState.RUNNING, 1.0),
+        (1.0, rollout_lib.RolloutState.COMPLETED, 1.0),
+        (1.0, rollout_lib.RolloutState.ROLLED_BACK, 0.0),
+    ],
+)
+def test_share_follows_the_schedule_and_the_state(age_s, state, share):
+    """Guards against traffic at a version that was rolled back."""
+    planner = make_planner()
+    planner.take(make_rollout(state), age_s)
+    shares = planner.compute_shares(SERVICE, ["v1", "v2"])
+    assert shares.get("v2", 0) == pytest.approx(share)
+    assert sum(shares.values()) == pytest.approx(1.0)
+
+
+def test_unknown_version_waits_for_its_order():
+    """Guards against a new version that gets a full share before its order."""
+    planner = make_planner()
+    assert set(planner.compute_shares(SERVICE, ["v1"])) == {"v1"}
+    assert set(planner.compute_shares(SERVICE, ["v1", "v2"])) == {"v1"}
+    planner.take(make_rollout(), 0.0)
+    assert planner.compute_shares(SERVICE, ["v1", "v2"])["v2"] < 0.1
+
+
+def test_older_revision_of_a_rollout_is_ignored():
+    """Guards against a late message that takes a verdict back."""
+    planner = make_planner()
+    done = make_rollout(rollout_lib.RolloutState.ROLLED_BACK, revision=9)
+    assert planner.take(done, 0.0)
+    assert not planner.take(make_rollout(revision=7), 0.0)
+    assert planner.find_order(SERVICE) is done
+
+
+@pytest.mark.parametrize("fault", ["none", "lost", "limited"])
+@pytest.mark.parametrize("good", [True, False])
+def test_rollout_ends_in_the_store(good, fault):
+    """Guards against rollouts that stay open, also after lost answers."""
+
+    async def scenario():
+        machines = (("n1", "desk"), ("n2", "desk"), ("n3", "desk", "v2"))
+        async with platform_world.run(*machines) as world:
+            new = world.machines[2].worker
+            if not good:
+                new.status = 500
+            if fault == "lost":
+                world.store.faults.lose_writes = 2
+            world.store.put(
+                "rollouts",
+                "desk",
+                {"service": "desk", "target_version": "v2", "duration_s": 3},
+            )
+            if fault == "limited":
+                world.store.faults.limited = True
+            stop = asyncio.Event()
+
+            async def load(machine):
+                while not stop.is_set():
+                    await machine.request()
+                    await asyncio.sleep(0.003)
+
+            tasks = [asyncio.create_task(load(m)) for m in world.machines]
+            if fault == "limited":
+                await asyncio.sleep(0.5)
+                world.store.faults.limited = False
+            expected = "completed" if good else "rolled_back"
+
+            def ended():
+                status = world.store.read_status("rollouts", "desk")
+                return status and status["state"] == expected
+
+            await platform_world.wait_for(ended, 6.0)
+            status = world.store.read_status("rollouts", "desk")
+            assert status["target_version"] == "v2"
+            await asyncio.sleep(0.3)
+            before = len(new.seen)
+            old = sum(len(m.worker.seen) for m in world.machines[:2])
+            await asyncio.sleep(0.3)
+            if good:
+                after = sum(len(m.worker.seen) for m in world.machines[:2])
+                assert after == old
+            else:
+                assert len(new.seen) == before
+            stop.set()
+            await asyncio.gather(*tasks)
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def test_standin_speaks_conditional_writes():
+    """Guards the stand-in: a stale revision must not overwrite."""
+
+    async def scenario():
+        store = standins.PlatformStore(platform_world.take_addresses(1)[0])
+        await store.start()
+        client = platform_world.program.Platform().connect_store(store.address)
+        item = await client.put("k", "a", [1], 0)
+        newer = await client.put("k", "a", [2], item.revision)
+        refused = await client.put("k", "a", [3], item.revision)
+        assert refused.current.value == [2]
+        same = await client.put("k", "a", [2], newer.revision)
+        assert same.revision == newer.revision
+        for number in range(7):
+            await client.put("k", f"b{number}", number, 0)
+        listing = await client.list("k")
+        assert len(listing.items) == 8
+        store.compact()
+        store.put("k", "z", 1)
+        changes = await client.watch("k", store.oldest, 1.0)
+        assert [item.name for item in changes.items] == ["z"]
+        with pytest.raises(platform_world.node_lib.store_lib.HistoryLostError):
+            await client.watch("k", 1, 1.0)
+        store.stop()
+
+    asyncio.run(scenario())
