Ignore heartbeats that arrive behind a deregistration

Ruled out: routes of other nodes (all requests came from the node itself). Change: a deregistration is kept by instance and start also for a server that is not known. The test fails without it.

--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -70,7 +70,8 @@
         self._log = log
         self._latest: backend.Announcement | None = None
         self._heard_at = 0.0
-        self._left: set[tuple[str, int]] = set()
+        # Latest start in Unix milliseconds of incarnations that have left.
+        self._left: dict[str, int] = {}
         self._idle: collections.deque[_Connection] = collections.deque()
 
     # Announcements.
@@ -94,12 +95,10 @@
             return False
         incarnation = (report.instance, report.started_ms)
         if report.state is backend.BackendState.GONE:
-            if known is None or known.instance != report.instance:
-                return True
-            self._left.add((known.instance, known.started_ms))
-            self._set_endpoint(None, "deregistered")
+            self._deregister(report)
             return True
-        if incarnation in self._left:
+        if report.started_ms <= self._left.get(report.instance, -1):
+            # It was delayed on its way, behind the deregistration.
             return True
         if known is None or (known.instance, known.started_ms) != incarnation:
             self._close_idle()
@@ -118,6 +117,15 @@
         )
         return True
 
+    def _deregister(self, report: backend.Announcement) -> None:
+        known = self._latest
+        started_ms = report.started_ms
+        if known is not None and known.instance == report.instance:
+            started_ms = started_ms or known.started_ms
+            self._set_endpoint(None, "deregistered")
+        # What starts after the deregistration is another incarnation.
+        self._left[report.instance] = started_ms or read_unix_ms()
+
     def _set_endpoint(
         self, endpoint: members.Endpoint | None, reason: str
     ) -> None:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -306,8 +306,8 @@
         body.update(changes)
         return await self._call("instances.heartbeat", orjson.dumps(body))
 
-    async def deregister(self):
-        return await self._call("instances.deregister", b"")
+    async def deregister(self, body=b""):
+        return await self._call("instances.deregister", body)
 
     async def _call(self, name, body):
         answer = await send(
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -209,6 +209,39 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("with_start", [True, False])
+def test_late_heartbeat_after_a_deregistration_is_ignored(with_start):
+    """Guards against work for a server that left a node that had restarted.
+
+    Seen as DRAIN on a hunted day of peloro-mesh: the node had started between
+    the heartbeat and the deregistration, which arrived first.
+    """
+
+    async def scenario():
+        async with platform_world.run(*DESKS) as world:
+            machine = world.machines[0]
+            machine.node.stop()
+            await asyncio.sleep(0.1)
+            await machine.start_node()
+            await platform_world.wait_for(machine.is_ready)
+            worker = machine.worker
+            body = b'{"born": 1000}' if with_start else b""
+            assert await worker.deregister(body) == 200
+            await worker.announce()
+            assert machine.node._server.endpoint is None
+            before = len(worker.seen)
+            for _ in range(5):
+                assert (await machine.request()).status == 200
+            assert len(worker.seen) == before
+            worker.started_ms = 10**15
+            assert await worker.announce() == 200
+            await platform_world.wait_for(
+                lambda: machine.node._server.endpoint is not None
+            )
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     "changes",
     [
