Send each configuration between regions once; stay near under light load

Ruled out: requests as the main part. Change: receivers tell the feeders what they have, later feeders wait for that; new nodes fetch the configuration instead of getting it from each peer; it is compressed; statuses to other regions each 2 s; calls without what the serving node does not need; distance weighs more than speed while nobody waits.

--- a/src/lycheestair/sidecar/calls.py
+++ b/src/lycheestair/sidecar/calls.py
@@ -16,7 +16,9 @@
 
     Attributes:
       deadline: Steady time in seconds at which the answer is due.
+      instance: Backend server that may run it.
       objective: Steady time in seconds until which it has its full value.
+      service: Service that it is for; the serving node does not need it.
       caller: Service of the instance where the request began.
     """
 
@@ -27,13 +29,12 @@
     body: bytes
     caller: ids.ServiceName
     route: ids.RouteName
-    service: ids.ServiceName
-    version: ids.VersionName
     instance: str
     idempotent: bool
     priority: int
     deadline: float
     objective: float
+    service: ids.ServiceName = ids.ServiceName("")
 
     @property
     def remaining_s(self) -> float:
@@ -51,8 +52,6 @@
             self.body,
             self.caller,
             self.route,
-            self.service,
-            self.version,
             self.instance,
             self.idempotent,
             self.priority,
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -35,8 +35,11 @@
 ANSWER_MARGIN_S: Final = 0.02
 # What a request costs on a way beside its time, as milliseconds of waiting:
 # links between regions are paid by volume.
-ZONE_COST_MS: Final = 25.0
-REGION_COST_MS: Final = 250.0
+ZONE_COST_MS: Final = 40.0
+REGION_COST_MS: Final = 300.0
+REGION_COST_MS_PER_BYTE: Final = 0.05
+# A backend server that is only slower costs little as long as none waits.
+SERVICE_WEIGHT: Final = 0.5
 REGION_ROUND_TRIP_MS: Final = 45.0
 FAILURE_COST_MS: Final = 800.0
 NEW_MEMBER_BONUS_MS: Final = 100.0
@@ -73,6 +76,15 @@
         self.closing = False
         self._settings = settings
         self._headers = headers
+        # Set anew for the backend server.
+        self._own_headers = frozenset(
+            {
+                headers.request_id,
+                headers.deadline_ms,
+                headers.instance,
+                headers.caller,
+            }
+        )
         self._table = table
         self._gossip = gossip
         self._planner = planner
@@ -263,12 +275,15 @@
             request_id=request_id,
             method=request.method,
             target=request.target,
-            headers=messages.select_end_to_end(request.headers),
+            headers=[
+                header
+                for header in messages.select_end_to_end(request.headers)
+                if header[0] not in self._own_headers
+            ],
             body=request.body,
             caller=self._settings.service,
             route=route.name,
             service=_choose_service(route),
-            version=ids.VersionName(""),
             instance="",
             idempotent=route.idempotent,
             priority=route.priority,
@@ -373,25 +388,24 @@
         for member in usable:
             if member.endpoint is None or member.endpoint.version != version:
                 continue
-            cost_ms = self._estimate_ms(member)
+            cost_ms = self._estimate_ms(member, len(call.body))
             if not best or cost_ms < best_ms - SPREAD_MS:
                 best, best_ms = [member], cost_ms
             elif cost_ms < best_ms + SPREAD_MS:
                 best.append(member)
         member = random.choice(best)
         assert member.endpoint is not None
-        call.version = version
         call.instance = member.endpoint.instance
         return member
 
-    def _estimate_ms(self, member: members.Member) -> float:
+    def _estimate_ms(self, member: members.Member, size: int) -> float:
         """Returns the expected time of a request at a member, and its cost."""
         endpoint = member.endpoint
         assert endpoint is not None
         service_ms = member.load.service_ms or 150.0
         slots = max(1, endpoint.slots)
         excess = member.outstanding + 1 - slots
-        cost = service_ms
+        cost = service_ms * SERVICE_WEIGHT
         if excess > 0:
             cost += excess * service_ms / slots
         cost += member.failure_share * FAILURE_COST_MS
@@ -402,7 +416,12 @@
             # Shows early what a new backend server is worth.
             return cost - NEW_MEMBER_BONUS_MS
         if member.record.region != own.region:
-            return cost + REGION_COST_MS + REGION_ROUND_TRIP_MS
+            return (
+                cost
+                + REGION_COST_MS
+                + REGION_ROUND_TRIP_MS
+                + size * REGION_COST_MS_PER_BYTE
+            )
         if member.record.failure_domain != own.failure_domain:
             return cost + ZONE_COST_MS
         return cost
--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -17,16 +17,15 @@
 from lycheestair.sidecar import store as store_lib
 from lycheestair.sidecar import versions as versions_lib
 
-# Nodes that watch the store for all. Each watch costs calls; more than one so
-# that a change arrives although a node or its way to the store is lost.
-FEEDERS: Final = 3
 # A connection that falls silent is only noticed when a watch ends, which has
 # to be within the time for a new configuration.
 WATCH_S: Final = 1.5
 NODES_WATCH_S: Final = 4.0
-# Calls from the store's region take less; a feeder elsewhere costs bytes
-# between regions for each change.
-FAR_STORE_MS: Final = 25
+# Each feeder after the first one waits this much longer before it sends a
+# change to those that have not got it: a round trip between regions and more.
+PUBLISH_STEP_S: Final = 0.12
+# A starting node waits this long for a configuration from its peers.
+PEERS_FIRST_S: Final = 0.4
 RETRY_MIN_S: Final = 0.2
 RETRY_MAX_S: Final = 1.5
 # A node that the store has refused asks again after this time.
@@ -84,27 +83,16 @@
 
     # Turns.
 
-    def _rank(self) -> int:
-        """Returns the place of this node among those that could feed."""
+    def _rank(self) -> int | None:
+        """Returns the place of this node among the feeders."""
+        feeders = self._gossip.list_feeders()
         own = self._table.own
-        own.store_ok = self._gossip.store_ok
-        own.store_ms = self._gossip.store_ms
-        able = sorted(
-            (
-                (member.store_ms > FAR_STORE_MS, member.record.node_id)
-                for member in self._table
-                if member.reachable
-                and not member.leaving
-                and member.store_ok is not False
-            ),
-        )
-        place = (own.store_ms > FAR_STORE_MS, own.record.node_id)
-        return sum(1 for other in able if other < place)
+        return feeders.index(own) if own in feeders else None
 
     def _is_turn(self) -> bool:
         if self._gossip.leaving:
             return False
-        turn = self._rank() < FEEDERS
+        turn = self._rank() is not None
         if turn != self._active:
             self._active = turn
             self._log.write("feeder starts" if turn else "feeder ends")
@@ -152,7 +140,13 @@
         self._set_store_ok(True)
         listing = await self._store.list(self._kinds.nodes)
         self._take_nodes(listing.items)
-        if not self._gossip.catalog.generation:
+        if len(self._table) > 1:
+            limit = clock.read_s() + PEERS_FIRST_S
+            while not self._gossip.catalog.generation:
+                if clock.read_s() > limit:
+                    break
+                await asyncio.sleep(POLL_S / 4)
+        if not self._gossip.catalog.generation and self._is_turn():
             listing = await self._store.list(self._kinds.configuration)
             self._take_catalogs(listing.items)
             listing = await self._store.list(self._kinds.rollouts)
@@ -213,7 +207,10 @@
                 self._log.write("document ignored", error=str(error))
                 continue
             if self._gossip.take_catalog(catalog):
-                self._gossip.publish_catalog()
+                asyncio.get_running_loop().call_later(
+                    PUBLISH_STEP_S * (self._rank() or 0),
+                    self._gossip.publish_catalog,
+                )
 
     def _take_rollouts(self, items: list[store_lib.StoredItem]) -> None:
         news = False
--- a/src/lycheestair/sidecar/frames.py
+++ b/src/lycheestair/sidecar/frames.py
@@ -4,6 +4,7 @@
 import struct
 from typing import Any
 from typing import Final
+import zlib
 
 import msgpack
 
@@ -28,11 +29,14 @@
     CONFIGURATION = 8
     CONFIGURATION_WANTED = 9
     ROLLOUTS = 10
-    MEMBERS = 11
+    CONFIGURATION_KNOWN = 11
 
 
 Frame = list[Any]
 
+# Changes of the configuration repeat names, and links are paid by volume.
+_COMPRESSION_LEVEL: Final = 6
+
 
 def encode(frame: Frame) -> bytes:
     """Returns the bytes of a frame."""
@@ -40,6 +44,26 @@
     return _LENGTH.pack(len(data)) + data
 
 
+def compress(document: list[Any]) -> bytes:
+    """Encodes a large part of a frame."""
+    return zlib.compress(msgpack.packb(document), _COMPRESSION_LEVEL)
+
+
+def decompress(data: bytes) -> list[Any]:
+    """Decodes what `compress` returned.
+
+    Raises:
+      ValueError: The data is malformed.
+    """
+    try:
+        document = msgpack.unpackb(zlib.decompress(data))
+    except (TypeError, zlib.error, msgpack.UnpackException) as error:
+        raise ValueError(f"not a compressed part: {error}") from error
+    if not isinstance(document, list):
+        raise ValueError("compressed part is not a list")
+    return document
+
+
 async def read(stream: streams.Stream) -> Frame:
     """Reads a frame.
 
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -21,10 +21,16 @@
 TICK_S: Final = 0.1
 # Loads change within tenths of a second; bytes between regions are dear.
 STATUS_INTERVAL_S: Final = 0.5
-FAR_STATUS_INTERVAL_S: Final = 1.0
+FAR_STATUS_INTERVAL_S: Final = 2.0
 # A configuration that another node has is asked for after this time, unless it
 # arrives by itself.
 FETCH_AFTER_S: Final = 0.15
+# Nodes that watch the store for all. Each watch costs calls; more than one so
+# that a change arrives although a node or its way to the store is lost.
+FEEDERS: Final = 3
+# Calls from the store's region take less; a feeder elsewhere costs bytes
+# between regions for each change.
+FAR_STORE_MS: Final = 25
 # Earlier configurations kept, to send changes instead of the whole.
 KEPT_CATALOGS: Final = 8
 
@@ -58,6 +64,7 @@
         self._links: dict[ids.NodeId, links.PeerLink] = {}
         self._earlier: dict[ids.Generation, catalog_lib.Catalog] = {}
         self._wanted_since = 0.0
+        self._fetched_at = 0.0
         self._status_number = 0
         self._near_at = 0.0
         self._far_at = 0.0
@@ -139,9 +146,9 @@
     def _on_change(self, member: members.Member) -> None:
         if member.reachable:
             link = self._links[member.record.node_id]
-            if self.catalog.generation:
-                self._send_whole(link, member.generation)
             link.send(self._encode_rollouts())
+            if not self.catalog.generation and member.generation:
+                self._fetch(member)
         else:
             member.generation = ids.Generation(0)
 
@@ -174,7 +181,9 @@
         elif kind == frames.FrameType.STATUS:
             self._take_status(member, frame[1])
         elif kind == frames.FrameType.CONFIGURATION:
-            self._take_configuration(member, frame[1])
+            self._take_configuration(member, frame[1], frame[2])
+        elif kind == frames.FrameType.CONFIGURATION_KNOWN:
+            member.generation = max(member.generation, frame[1])
         elif kind == frames.FrameType.CONFIGURATION_WANTED:
             link = self._links.get(member.record.node_id)
             if link is not None:
@@ -310,6 +319,39 @@
         )
         return True
 
+    def list_feeders(self) -> list[members.Member]:
+        """Returns the nodes that watch the store for all, first one first."""
+        own = self._table.own
+        own.store_ok = self.store_ok
+        own.store_ms = self.store_ms
+        own.leaving = self.leaving
+        able = [
+            member
+            for member in self._table
+            if member.reachable
+            and not member.leaving
+            and member.store_ok is not False
+        ]
+        able.sort(
+            key=lambda member: (
+                member.store_ms > FAR_STORE_MS,
+                member.record.node_id,
+            )
+        )
+        return able[:FEEDERS]
+
+    def _tell_feeders(self) -> None:
+        """Spares the other feeders from sending the same configuration."""
+        for member in self.list_feeders():
+            link = self._links.get(member.record.node_id)
+            if link is not None:
+                link.send(
+                    [
+                        frames.FrameType.CONFIGURATION_KNOWN,
+                        self.catalog.generation,
+                    ]
+                )
+
     def publish_catalog(self) -> None:
         """Sends the configuration in force to members that may lack it."""
         encoded: dict[ids.Generation, bytes] = {}
@@ -327,7 +369,8 @@
         return frames.encode(
             [
                 frames.FrameType.CONFIGURATION,
-                catalog_lib.encode_change(old, self.catalog),
+                self.catalog.generation,
+                frames.compress(catalog_lib.encode_change(old, self.catalog)),
             ]
         )
 
@@ -337,12 +380,15 @@
             link.member.generation = self.catalog.generation
 
     def _take_configuration(
-        self, member: members.Member, document: catalog_lib.Encoded
+        self,
+        member: members.Member,
+        generation: ids.Generation,
+        data: bytes,
     ) -> None:
-        generation = ids.Generation(int(document[0]))
         member.generation = max(member.generation, generation)
         if generation <= self.catalog.generation:
             return
+        document = frames.decompress(data)
         base = catalog_lib.read_base(document)
         old = self.catalog
         if base not in (0, old.generation):
@@ -352,7 +398,8 @@
                 return
             old = found
         try:
-            self.take_catalog(catalog_lib.apply_change(old, document))
+            if self.take_catalog(catalog_lib.apply_change(old, document)):
+                self._tell_feeders()
         except catalog_lib.CatalogError as error:
             self._log.write(
                 "configuration refused",
@@ -363,9 +410,16 @@
             self._fetch(member)
 
     def _fetch(self, member: members.Member) -> None:
+        now = clock.read_s()
         link = self._links.get(member.record.node_id)
-        if link is not None:
-            link.send([frames.FrameType.CONFIGURATION_WANTED, 0])
+        if link is not None and now - self._fetched_at > FETCH_AFTER_S:
+            self._fetched_at = now
+            link.send(
+                [
+                    frames.FrameType.CONFIGURATION_WANTED,
+                    self.catalog.generation,
+                ]
+            )
 
     # Rollouts.
 
@@ -458,7 +512,10 @@
     def _fetch_newer(self, now: float) -> None:
         newest = max(
             (m for m in self._table.list_others() if m.reachable),
-            key=lambda member: member.generation,
+            key=lambda member: (
+                member.generation,
+                member.record.region == self._settings.region,
+            ),
             default=None,
         )
         if newest is None or newest.generation <= self.catalog.generation:
@@ -467,11 +524,4 @@
             self._wanted_since = now
         elif now - self._wanted_since > FETCH_AFTER_S:
             self._wanted_since = now
-            link = self._links.get(newest.record.node_id)
-            if link is not None:
-                link.send(
-                    [
-                        frames.FrameType.CONFIGURATION_WANTED,
-                        self.catalog.generation,
-                    ]
-                )
+            self._fetch(newest)
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -64,9 +64,6 @@
         self.counts: dict[ids.RouteName, list[int]] = {}
         self._settings = settings
         self._headers = headers
-        self._set_headers = frozenset(
-            {headers.deadline_ms, headers.instance, headers.caller}
-        )
         self._log = log
         self._latest: backend.Announcement | None = None
         self._heard_at = 0.0
@@ -172,8 +169,7 @@
         if (
             endpoint is None
             or endpoint.state is not backend.BackendState.SERVING
-            or (endpoint.service, endpoint.version)
-            != (call.service, call.version)
+            or endpoint.instance != call.instance
         ):
             return calls.Refusal(
                 errors.ErrorKind.DRAINING, "not the endpoint asked for"
@@ -313,11 +309,12 @@
         self, endpoint: members.Endpoint, call: calls.Call, remaining_ms: int
     ) -> bytes:
         headers = [
-            header
-            for header in call.headers
-            if header[0] not in self._set_headers
-        ]
-        headers += [
+            *call.headers,
+            *(
+                [(self._headers.request_id, call.request_id)]
+                if call.request_id
+                else []
+            ),
             (self._headers.deadline_ms, b"%d" % remaining_ms),
             (self._headers.instance, endpoint.instance.encode()),
             (self._headers.caller, call.caller.encode()),
