Leave repeats to clients that have time; keep the budget for calls

Calls of backend servers have no retries of their own, and each one lost costs its parent (1,366 answers 500); the budget of repeats was spent on clients that would have come back by themselves, which counts as a new request. Change: a refusal that is true and early goes back with a short Retry-After while the client has a second left; calls and returned clients use the budget.

--- a/src/lycheestair/sidecar/calls.py
+++ b/src/lycheestair/sidecar/calls.py
@@ -19,6 +19,7 @@
       instance: Backend server that may run it.
       objective: Steady time in seconds until which it has its full value.
       service: Service that it is for; the serving node does not need it.
+      may_return: Whether its client would send it again after a failure.
       caller: Service of the instance where the request began.
     """
 
@@ -35,6 +36,7 @@
     deadline: float
     objective: float
     service: ids.ServiceName = ids.ServiceName("")
+    may_return: bool = False
 
     @property
     def remaining_s(self) -> float:
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -32,6 +32,14 @@
 # Nodes with a full queue that one request is offered to: the nearest and the
 # least loaded are asked first, so that a third would hardly have room.
 MAX_OVERLOADED: Final = 2
+# A client with this much time left comes back by itself. That costs nothing of
+# the budget of repeats, which is kept for calls of backend servers and for
+# clients that have come back already.
+RETURN_S: Final = 1.0
+# A client that waits this much less than usual has come back.
+RETURNED_S: Final = 0.02
+# A backend server that has not run a request may run the next one.
+QUICK_RETRY_AFTER_S: Final = 0.05
 # The answer has to reach the client before it stops waiting.
 ANSWER_MARGIN_S: Final = 0.02
 # What a request costs on a way beside its time, as milliseconds of waiting:
@@ -301,6 +309,7 @@
             # A client that comes back counts from its first attempt; what is
             # missing of its usual time has passed since then.
             objective=arrived + route.objective_s - (full_s - wait_s),
+            may_return=wait_s > RETURN_S and full_s - wait_s < RETURNED_S,
         )
 
     async def _run(
@@ -334,7 +343,9 @@
                 if overloaded >= MAX_OVERLOADED:
                     return last
             if reached and (
-                reached >= route.max_attempts or not retries.try_spend()
+                reached >= route.max_attempts
+                or call.may_return
+                or not retries.try_spend()
             ):
                 return last
         if last is None:
@@ -465,7 +476,9 @@
         status = 504 if refusal.kind is errors.ErrorKind.TIMEOUT else 502
     headers = [(b"content-type", b"application/json")]
     if status == 503:
-        retry_after_s = refusal.retry_after_s or DEFAULT_RETRY_AFTER_S
+        retry_after_s = refusal.retry_after_s or (
+            QUICK_RETRY_AFTER_S if refusal.reached else DEFAULT_RETRY_AFTER_S
+        )
         # Spread, so that those refused together don't come back together.
         retry_after_s *= random.uniform(0.8, 1.2)
         headers.append((b"retry-after", f"{retry_after_s:.2f}".encode()))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -411,9 +411,20 @@
                 )
 
             first.worker.misbehave = shed
-            answer = await first.request("/order/1", b"POST")
-            assert answer.status == 200
-            assert answer.find(standins.PROOF) == b"i-n2"
+            # The first requests show each member to the node.
+            for _ in range(3):
+                await first.request(deadline_ms=800)
+            for _ in range(3):
+                answer = await first.request(
+                    "/order/1", b"POST", deadline_ms=800
+                )
+                assert answer.status == 200
+                assert answer.find(standins.PROOF) == b"i-n2"
+            # A client with time comes back by itself, which costs no budget.
+            second.worker.misbehave = shed
+            answer = await first.request("/order/1", b"POST", deadline_ms=3000)
+            assert answer.status == 503
+            assert 0 < float(answer.find(b"retry-after")) < 0.1
 
     play(scenario)
 
