--- a/src/lycheestair/forwarding.py
+++ b/src/lycheestair/forwarding.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Callable
-import re
 import threading
 import time
 from typing import Final
@@ -25,8 +24,6 @@
 MAX_ANSWER_HEAD_BYTES: Final = 32_768
 MAX_INTERIM_ANSWERS: Final = 8
 
-_STATUS_LINE: Final = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})( .*)?")
-
 
 class _Connection(connection.HTTPConnection):
     """Kept connection with one buffered reader."""
@@ -212,16 +209,13 @@
     """Returns the answer and whether the connection may be kept."""
     for _ in range(MAX_INTERIM_ANSWERS):
         head = messages.read_head(reader, MAX_ANSWER_HEAD_BYTES)
-        line = _STATUS_LINE.fullmatch(head.start)
-        if line is None:
-            raise messages.MalformedMessageError("malformed status line")
-        status = int(line[2])
-        if status >= 200:
+        line = messages.parse_status_line(head)
+        if line.status >= 200:
             break
     else:
         raise messages.MalformedMessageError("too many interim answers")
     framing = messages.find_framing(head.headers)
-    if method == "HEAD" or status in (204, 304):
+    if method == "HEAD" or line.status in (204, 304):
         body = b""
     elif framing is None:
         # Without a length the end of the connection is the only end of the
@@ -232,8 +226,6 @@
     connection_header = (head.find(b"connection") or b"").lower()
     # Bytes behind the answer belong to no request.
     keep = (
-        line[1] == b"1"
-        and b"close" not in connection_header
-        and not reader.has_data
+        line.keeps and b"close" not in connection_header and not reader.has_data
     )
-    return messages.Answer(status, head.headers, body), keep
+    return messages.Answer(line.status, head.headers, body), keep
--- a/src/lycheestair/http_server.py
+++ b/src/lycheestair/http_server.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import contextlib
-import re
 import socket
 import threading
 import time
@@ -31,11 +30,6 @@
 LINGER_BYTES: Final = 262_144
 ACCEPT_BACKLOG: Final = 512
 
-_REQUEST_LINE: Final = re.compile(
-    rb"([A-Z]{1,32}) (/[\x21-\x7e\x80-\xff]*) HTTP/1\.([01])"
-)
-_HOST: Final = re.compile(rb"[0-9A-Za-z._:\[\]-]{0,255}")
-
 
 class _RefusedError(Exception):
     """The request can't be read; the connection is closed after the answer."""
@@ -122,22 +116,14 @@
     def _read_rest(
         self, head: messages.Head, max_body_bytes: int
     ) -> messages.Request:
-        line = _REQUEST_LINE.fullmatch(head.start)
-        if line is None:
-            raise messages.MalformedMessageError("malformed request line")
-        hosts = [value for name, value in head.headers if name == b"host"]
-        if len(hosts) > 1 or (not hosts and line[3] == b"1"):
-            raise messages.MalformedMessageError("exactly one Host is needed")
-        host = hosts[0] if hosts else b""
-        if _HOST.fullmatch(host) is None:
-            raise messages.MalformedMessageError("malformed Host")
+        line = messages.parse_request_line(head)
         framing = messages.find_framing(head.headers) or 0
         if framing > max_body_bytes:
             raise messages.BodyTooLargeError(
                 f"body is larger than {max_body_bytes} bytes"
             )
         connection = (head.find(b"connection") or b"").lower()
-        self.keep = line[3] == b"1" and b"close" not in connection
+        self.keep = line.keeps and b"close" not in connection
         expected = head.find(b"expect")
         if expected is not None:
             if expected.lower() != b"100-continue":
@@ -145,12 +131,12 @@
             if framing:
                 self._send_bytes(b"HTTP/1.1 100 Continue\r\n\r\n")
         body = messages.read_body(self.reader, framing, max_body_bytes)
-        target = line[2]
+        target = line.target
         return messages.Request(
-            method=line[1].decode(),
+            method=line.method.decode(),
             target=target,
             path=target.partition(b"?")[0].decode("latin-1"),
-            host=host.decode(),
+            host=line.host.decode(),
             headers=head.headers,
             body=body,
             is_abandoned=self._is_abandoned
--- a/src/lycheestair/messages.py
+++ b/src/lycheestair/messages.py
@@ -27,6 +27,11 @@
 _FIELD: Final = re.compile(_FIELD_PATTERN)
 _FIELDS: Final = re.compile(b"(?:%s)*" % _FIELD_PATTERN)
 _CHUNK_LINE: Final = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(;[^\r\n]*)?\r\n")
+_REQUEST_LINE: Final = re.compile(
+    rb"([A-Z]{1,32}) (/[\x21-\x7e\x80-\xff]*) HTTP/1\.([01])"
+)
+_STATUS_LINE: Final = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})( .*)?")
+_HOST: Final = re.compile(rb"[0-9A-Za-z._:\[\]-]{0,255}")
 _HOP_BY_HOP: Final = frozenset(
     {
         b"connection",
@@ -258,6 +263,64 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class RequestLine:
+    """Start of a request.
+
+    Attributes:
+      target: Path and query as sent.
+      keeps: Whether the version of HTTP keeps connections open.
+      host: Value of the Host header, empty if HTTP/1.0 leaves it out.
+    """
+
+    method: bytes
+    target: bytes
+    keeps: bool
+    host: bytes
+
+
+def parse_request_line(head: Head) -> RequestLine:
+    """Parses the start line of a request and its Host header.
+
+    Raises:
+      MalformedMessageError: One of them is malformed or missing.
+    """
+    line = _REQUEST_LINE.fullmatch(head.start)
+    if line is None:
+        raise MalformedMessageError("malformed request line")
+    hosts = [value for name, value in head.headers if name == b"host"]
+    if len(hosts) > 1 or (not hosts and line[3] == b"1"):
+        raise MalformedMessageError("exactly one Host is needed")
+    host = hosts[0] if hosts else b""
+    if _HOST.fullmatch(host) is None:
+        raise MalformedMessageError("malformed Host")
+    return RequestLine(line[1], line[2], line[3] == b"1", host)
+
+
+@dataclasses.dataclass(frozen=True)
+class StatusLine:
+    """Start of an answer.
+
+    Attributes:
+      keeps: Whether the version of HTTP keeps connections open.
+    """
+
+    status: int
+    keeps: bool
+
+
+def parse_status_line(head: Head) -> StatusLine:
+    """Parses the start line of an answer.
+
+    Raises:
+      MalformedMessageError: It is malformed.
+    """
+    line = _STATUS_LINE.fullmatch(head.start)
+    if line is None:
+        raise MalformedMessageError("malformed status line")
+    return StatusLine(int(line[2]), line[1] == b"1")
+
+
 def parse_chunk_length(line: bytes) -> int:
     """Returns the length of a chunk from its size line.
 
--- a/src/lycheestair/platform/objects.py
+++ b/src/lycheestair/platform/objects.py
@@ -40,7 +40,7 @@
             items.extend(page)
             # Pages may be of different revisions; changes after the first
             # one are all in the watch that continues it.
-            revision = revision or int(document["at"])
+            revision = revision or _read_revision(document)
             if not document.get("has_more") or not page:
                 break
             after = page[-1].name
@@ -59,10 +59,11 @@
             raise store.HistoryLostError(f"{kind} after {revision}")
         return store.Listing(
             [
-                _decode(event["object"], bool(event.get("deleted")))
+                _decode(event.get("object"), bool(event.get("deleted")))
                 for event in document.get("events") or ()
+                if isinstance(event, dict)
             ],
-            int(document["at"]),
+            _read_revision(document),
         )
 
     async def put(
@@ -178,6 +179,13 @@
     return f"/{kind}/{urllib.parse.quote(name, safe='')}"
 
 
+def _read_revision(document: dict[str, Any]) -> int:
+    revision = document.get("at")
+    if not isinstance(revision, int):
+        raise store.StoreUnavailableError("answer has no revision")
+    return revision
+
+
 def _decode(document: Any, deleted: bool = False) -> store.StoredItem:
     try:
         metadata = document["metadata"]
--- a/src/lycheestair/platform/settings.py
+++ b/src/lycheestair/platform/settings.py
@@ -15,9 +15,6 @@
 PEER_PORT: Final = 0
 METRICS_PORT: Final = 1
 
-_ZONES: Final = "network.zones."
-_MEGABYTE: Final = 1_000_000
-
 T = TypeVar("T")
 
 
@@ -57,7 +54,6 @@
     )
     return settings_lib.SidecarSettings(
         node_id=ids.NodeId(_read(fields, "self_node.node_name", str)),
-        host=host,
         failure_domain=ids.FailureDomain(_read(fields, "self_node.zone", str)),
         region=ids.Region(_read(fields, "self_node.region", str)),
         service=ids.ServiceName(_read(fields, "self_node.service", str)),
@@ -70,17 +66,9 @@
         peers=ids.Address(f"{host}:{first_port + PEER_PORT}"),
         metrics=ids.Address(f"{host}:{first_port + METRICS_PORT}"),
         store=_read(fields, "platform.platform.address", ids.Address),
-        zones={
-            ids.FailureDomain(name.removeprefix(_ZONES)): ids.Region(value)
-            for name, value in fields.items()
-            if name.startswith(_ZONES)
-        },
         heartbeat_interval_s=_read(
             fields, "platform.heartbeat_interval_s", float
         ),
-        memory_bytes=int(
-            _read(fields, "self_node.limits.memory_mb", float) * _MEGABYTE
-        ),
         bounds=_decode_bounds(fields),
     )
 
@@ -93,16 +81,11 @@
         return _read(fields, key, float) if key in fields else fallback
 
     return settings_lib.Bounds(
-        drain_s=read("drain_s", default.drain_s),
         grace_s=read("grace_period_s", default.grace_s),
-        apply_s=read("config_apply_s", default.apply_s),
         retry_ratio=read("retry_budget_ratio", default.retry_ratio),
         retry_slack=read("retry_budget_slack", default.retry_slack),
         retry_window_s=read("budget_window_s", default.retry_window_s),
         exposure_share=read("exposure_share", default.exposure_share),
-        exposure_slack=read("exposure_slack", default.exposure_slack),
-        rollback_s=read("rollback_s", default.rollback_s),
-        address_reuse_s=read("address_reuse_s", default.address_reuse_s),
     )
 
 
--- a/src/lycheestair/sidecar/admission.py
+++ b/src/lycheestair/sidecar/admission.py
@@ -77,6 +77,10 @@
         ages = sum(now - start for start in self._starts.values())
         return max(self._service_s, ages / len(self._starts))
 
+    def read_load(self) -> list[int]:
+        """Returns calls running and waiting, and the service time in ms."""
+        return [self._running, self.waiting, int(self.service_s * 1000)]
+
     def predict_wait_s(self, priority: int, late: bool = False) -> float:
         """Returns the time in seconds that a new call would wait."""
         ahead = bisect.bisect_right(
--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -31,9 +31,6 @@
 # A node that the store has refused asks again after this time.
 RECHECK_S: Final = 2.0
 POLL_S: Final = 0.1
-# Between the last share of a rollout and its end, so that requests at the old
-# version are answered.
-MIN_FULL_SHARE_S: Final = 1.0
 # The record of a node that nobody reaches is removed after this time.
 REMOVE_AFTER_S: Final = 20.0
 
@@ -206,10 +203,10 @@
             except store_lib.DocumentError as error:
                 self._log.write("document ignored", error=str(error))
                 continue
-            if self._gossip.take_catalog(catalog):
+            if self._gossip.replica.take(catalog):
                 asyncio.get_running_loop().call_later(
                     PUBLISH_STEP_S * (self._rank() or 0),
-                    self._gossip.publish_catalog,
+                    self._gossip.replica.publish,
                 )
 
     def _take_rollouts(self, items: list[store_lib.StoredItem]) -> None:
@@ -266,10 +263,9 @@
         state = rollout_lib.RolloutState.RUNNING
         if self._planner.read_bad_reason(rollout.service):
             state = rollout_lib.RolloutState.ROLLED_BACK
-        elif (
-            age_s > rollout.duration_s * versions_lib.COMPLETE_AT
-            and rollout.target in self._table.list_versions(rollout.service)
-        ):
+        elif age_s > versions_lib.find_end_s(
+            rollout.duration_s
+        ) and rollout.target in self._table.list_versions(rollout.service):
             state = rollout_lib.RolloutState.COMPLETED
         if state is rollout.state:
             return
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -13,6 +13,7 @@
 from lycheestair.sidecar import journal
 from lycheestair.sidecar import links
 from lycheestair.sidecar import members
+from lycheestair.sidecar import replica as replica_lib
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import serving
 from lycheestair.sidecar import settings as settings_lib
@@ -22,24 +23,19 @@
 # Loads change within tenths of a second; bytes between regions are dear.
 STATUS_INTERVAL_S: Final = 0.5
 FAR_STATUS_INTERVAL_S: Final = 2.0
-# A configuration that another node has is asked for after this time, unless it
-# arrives by itself.
-FETCH_AFTER_S: Final = 0.15
 # Nodes that watch the store for all. Each watch costs calls; more than one so
 # that a change arrives although a node or its way to the store is lost.
 FEEDERS: Final = 3
 # Calls from the store's region take less; a feeder elsewhere costs bytes
 # between regions for each change.
 FAR_STORE_MS: Final = 25
-# Earlier configurations kept, to send changes instead of the whole.
-KEPT_CATALOGS: Final = 8
 
 
 class Gossip:
     """The view that a node shares with the others.
 
     Attributes:
-      catalog: Configuration in force; its generation only rises.
+      replica: The configuration in force.
       store_ok: Whether the store answers this node, None if not known.
       store_ms: Time in milliseconds of a call to the store.
     """
@@ -52,7 +48,6 @@
         planner: versions_lib.VersionPlanner,
         log: journal.Journal,
     ):
-        self.catalog = catalog_lib.EMPTY
         self.leaving = False
         self.store_ok: bool | None = None
         self.store_ms = 0
@@ -62,14 +57,19 @@
         self._planner = planner
         self._log = log
         self._links: dict[ids.NodeId, links.PeerLink] = {}
-        self._earlier: dict[ids.Generation, catalog_lib.Catalog] = {}
-        self._wanted_since = 0.0
-        self._fetched_at = 0.0
+        self.replica = replica_lib.CatalogReplica(
+            settings.region, table, self._links, self.list_feeders, log
+        )
         self._status_number = 0
         self._near_at = 0.0
         self._far_at = 0.0
         self._counted_revision = 0
 
+    @property
+    def catalog(self) -> catalog_lib.Catalog:
+        """Configuration in force."""
+        return self.replica.catalog
+
     # Members.
 
     def find_link(self, node_id: ids.NodeId) -> links.PeerLink | None:
@@ -148,7 +148,7 @@
             link = self._links[member.record.node_id]
             link.send(self._encode_rollouts())
             if not self.catalog.generation and member.generation:
-                self._fetch(member)
+                self.replica.fetch(member)
         else:
             member.generation = ids.Generation(0)
 
@@ -181,16 +181,16 @@
         elif kind == frames.FrameType.STATUS:
             self._take_status(member, frame[1])
         elif kind == frames.FrameType.CONFIGURATION:
-            self._take_configuration(member, frame[1], frame[2])
+            self.replica.take_change(member, ids.Generation(frame[1]), frame[2])
         elif kind == frames.FrameType.CONFIGURATION_KNOWN:
             member.generation = max(member.generation, frame[1])
         elif kind == frames.FrameType.CONFIGURATION_WANTED:
             link = self._links.get(member.record.node_id)
             if link is not None:
-                self._send_whole(link, ids.Generation(frame[1]))
+                self.replica.send(link, ids.Generation(frame[1]))
         elif kind == frames.FrameType.ROLLOUTS:
             for fields in frame[1]:
-                self._take_rollout_fields(fields)
+                self.take_rollout(*rollout_lib.decode(fields))
 
     def _take_status(self, member: members.Member, fields: list[Any]) -> None:
         (
@@ -267,7 +267,7 @@
                 endpoint.slots,
                 endpoint.state.value,
             ],
-            self.read_load(),
+            self._server.admission.read_load(),
             self.catalog.generation,
             self.leaving,
             self.store_ok,
@@ -276,15 +276,6 @@
             counts,
         ]
 
-    def read_load(self) -> list[int]:
-        """Returns the load of the own backend server."""
-        admission = self._server.admission
-        return [
-            admission.running,
-            admission.waiting,
-            int(admission.service_s * 1000),
-        ]
-
     def publish_status(self) -> None:
         """Sends the own status to all members at once."""
         own = self._table.own
@@ -299,25 +290,7 @@
             if select(link.member):
                 link.send_bytes(data)
 
-    # Configuration.
-
-    def take_catalog(self, catalog: catalog_lib.Catalog) -> bool:
-        """Brings a configuration into force if it is newer."""
-        if catalog.generation <= self.catalog.generation:
-            return False
-        old = self.catalog
-        self._earlier[old.generation] = old
-        for generation in sorted(self._earlier)[:-KEPT_CATALOGS]:
-            del self._earlier[generation]
-        self.catalog = catalog
-        self._wanted_since = 0.0
-        self._log.write(
-            "configuration in force",
-            generation=catalog.generation,
-            earlier=old.generation,
-            routes=len(catalog.routes),
-        )
-        return True
+    # Feeders.
 
     def list_feeders(self) -> list[members.Member]:
         """Returns the nodes that watch the store for all, first one first."""
@@ -340,87 +313,6 @@
         )
         return able[:FEEDERS]
 
-    def _tell_feeders(self) -> None:
-        """Spares the other feeders from sending the same configuration."""
-        for member in self.list_feeders():
-            link = self._links.get(member.record.node_id)
-            if link is not None:
-                link.send(
-                    [
-                        frames.FrameType.CONFIGURATION_KNOWN,
-                        self.catalog.generation,
-                    ]
-                )
-
-    def publish_catalog(self) -> None:
-        """Sends the configuration in force to members that may lack it."""
-        encoded: dict[ids.Generation, bytes] = {}
-        for link in self._links.values():
-            base = link.member.generation
-            if base >= self.catalog.generation:
-                continue
-            if base not in encoded:
-                encoded[base] = self._encode_catalog(base)
-            if link.send_bytes(encoded[base]):
-                link.member.generation = self.catalog.generation
-
-    def _encode_catalog(self, base: ids.Generation) -> bytes:
-        old = self._earlier.get(base, catalog_lib.EMPTY)
-        return frames.encode(
-            [
-                frames.FrameType.CONFIGURATION,
-                self.catalog.generation,
-                frames.compress(catalog_lib.encode_change(old, self.catalog)),
-            ]
-        )
-
-    def _send_whole(self, link: links.PeerLink, base: ids.Generation) -> None:
-        if base < self.catalog.generation:
-            link.send_bytes(self._encode_catalog(base))
-            link.member.generation = self.catalog.generation
-
-    def _take_configuration(
-        self,
-        member: members.Member,
-        generation: ids.Generation,
-        data: bytes,
-    ) -> None:
-        member.generation = max(member.generation, generation)
-        if generation <= self.catalog.generation:
-            return
-        document = frames.decompress(data)
-        base = catalog_lib.read_base(document)
-        old = self.catalog
-        if base not in (0, old.generation):
-            found = self._earlier.get(base)
-            if found is None:
-                self._fetch(member)
-                return
-            old = found
-        try:
-            if self.take_catalog(catalog_lib.apply_change(old, document)):
-                self._tell_feeders()
-        except catalog_lib.CatalogError as error:
-            self._log.write(
-                "configuration refused",
-                peer=member.record.node_id,
-                generation=generation,
-                error=str(error),
-            )
-            self._fetch(member)
-
-    def _fetch(self, member: members.Member) -> None:
-        now = clock.read_s()
-        link = self._links.get(member.record.node_id)
-        if link is not None and now - self._fetched_at > FETCH_AFTER_S:
-            self._fetched_at = now
-            link.send(
-                [
-                    frames.FrameType.CONFIGURATION_WANTED,
-                    self.catalog.generation,
-                ]
-            )
-
     # Rollouts.
 
     def take_rollout(self, rollout: rollout_lib.Rollout, age_s: float) -> bool:
@@ -447,33 +339,11 @@
         return [
             frames.FrameType.ROLLOUTS,
             [
-                [
-                    rollout.service,
-                    rollout.target,
-                    rollout.duration_s,
-                    rollout.state.value,
-                    rollout.revision,
-                    rollout.created,
-                    age_s,
-                ]
+                rollout_lib.encode(rollout, age_s)
                 for rollout, age_s in self._planner.list_rollouts()
             ],
         ]
 
-    def _take_rollout_fields(self, fields: list[Any]) -> None:
-        service, target, duration_s, state, revision, created, age_s = fields
-        self.take_rollout(
-            rollout_lib.Rollout(
-                service,
-                target,
-                duration_s,
-                rollout_lib.RolloutState(state),
-                revision,
-                created,
-            ),
-            age_s,
-        )
-
     # Periodic work.
 
     def stop(self) -> None:
@@ -485,20 +355,26 @@
         """Sends the own status and checks links until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
-            now = clock.read_s()
-            self._server.check_heartbeat()
-            self._table.own.report_load(*self.read_load())
-            for link in list(self._links.values()):
-                link.check()
-            self._send_due_status(now)
-            self._fetch_newer(now)
-            for rollout in self._planner.judge():
-                self._log.write(
-                    "version found bad",
-                    service=rollout.service,
-                    version=rollout.target,
-                    reason=self._planner.read_bad_reason(rollout.service),
-                )
+            try:
+                self._tick(clock.read_s())
+            except Exception as error:
+                # What one peer has sent must not end the node.
+                self._log.write("periodic work failed", error=repr(error))
+
+    def _tick(self, now: float) -> None:
+        self._server.check_heartbeat()
+        self._table.own.report_load(*self._server.admission.read_load())
+        for link in list(self._links.values()):
+            link.check()
+        self._send_due_status(now)
+        self.replica.fetch_newer(now)
+        for rollout in self._planner.judge():
+            self._log.write(
+                "version found bad",
+                service=rollout.service,
+                version=rollout.target,
+                reason=self._planner.read_bad_reason(rollout.service),
+            )
 
     def _send_due_status(self, now: float) -> None:
         region = self._settings.region
@@ -508,20 +384,3 @@
         elif now - self._near_at >= STATUS_INTERVAL_S:
             self._near_at = now
             self._send_status(lambda member: member.record.region == region)
-
-    def _fetch_newer(self, now: float) -> None:
-        newest = max(
-            (m for m in self._table.list_others() if m.reachable),
-            key=lambda member: (
-                member.generation,
-                member.record.region == self._settings.region,
-            ),
-            default=None,
-        )
-        if newest is None or newest.generation <= self.catalog.generation:
-            self._wanted_since = 0.0
-        elif not self._wanted_since:
-            self._wanted_since = now
-        elif now - self._wanted_since > FETCH_AFTER_S:
-            self._wanted_since = now
-            self._fetch(newest)
--- a/src/lycheestair/sidecar/http1.py
+++ b/src/lycheestair/sidecar/http1.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 requests and answers over asyncio streams."""
 
 import dataclasses
-import re
 from typing import Final
 
 from lycheestair import messages
@@ -15,11 +14,6 @@
 MAX_INTERIM_ANSWERS: Final = 8
 CHUNKED: Final = -1
 
-_REQUEST_LINE: Final = re.compile(
-    rb"([A-Z]{1,32}) (/[\x21-\x7e\x80-\xff]*) HTTP/1\.([01])"
-)
-_STATUS_LINE: Final = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})( .*)?")
-_HOST: Final = re.compile(rb"[0-9A-Za-z._:\[\]-]{0,255}")
 _CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -88,15 +82,7 @@
     head = messages.parse_head(
         await stream.read_until(b"\r\n\r\n", max_header_bytes, False)
     )
-    line = _REQUEST_LINE.fullmatch(head.start)
-    if line is None:
-        raise messages.MalformedMessageError("malformed request line")
-    hosts = [value for name, value in head.headers if name == b"host"]
-    if len(hosts) > 1 or (not hosts and line[3] == b"1"):
-        raise messages.MalformedMessageError("exactly one Host is needed")
-    host = hosts[0] if hosts else b""
-    if _HOST.fullmatch(host) is None:
-        raise messages.MalformedMessageError("malformed Host")
+    line = messages.parse_request_line(head)
     framing = messages.find_framing(head.headers) or 0
     if framing > max_body_bytes:
         raise messages.BodyTooLargeError("request body is too large")
@@ -104,12 +90,12 @@
     if framing and head.find(b"expect") is not None:
         stream.write(_CONTINUE)
     return Request(
-        line[1],
-        line[2],
-        host.decode(),
+        line.method,
+        line.target,
+        line.host.decode(),
         head.headers,
         await _read_body(stream, framing, max_body_bytes),
-        line[3] == b"1" and b"close" not in connection,
+        line.keeps and b"close" not in connection,
     )
 
 
@@ -128,16 +114,13 @@
         head = messages.parse_head(
             await stream.read_until(b"\r\n\r\n", MAX_ANSWER_HEAD_BYTES, False)
         )
-        line = _STATUS_LINE.fullmatch(head.start)
-        if line is None:
-            raise messages.MalformedMessageError("malformed status line")
-        status = int(line[2])
-        if status >= 200:
+        line = messages.parse_status_line(head)
+        if line.status >= 200:
             break
     else:
         raise messages.MalformedMessageError("too many interim answers")
     framing = messages.find_framing(head.headers)
-    if method == b"HEAD" or status in (204, 304):
+    if method == b"HEAD" or line.status in (204, 304):
         body = b""
     elif framing is None:
         body = await _read_to_end(stream)
@@ -146,13 +129,13 @@
     connection = (head.find(b"connection") or b"").lower()
     # Bytes behind the answer belong to no request.
     keep = (
-        line[1] == b"1"
+        line.keeps
         and framing is not None
         and b"close" not in connection
         and not stream.buffered
         and not stream.ended
     )
-    return Answer(status, head.headers, body, keep)
+    return Answer(line.status, head.headers, body, keep)
 
 
 async def _read_body(stream: streams.Stream, framing: int, limit: int) -> bytes:
--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -191,12 +191,15 @@
                 return
             except OSError as error:
                 refused = isinstance(error, ConnectionRefusedError)
-            except (
-                messages.IncompleteMessageError,
-                messages.MalformedMessageError,
-                ValueError,
-            ):
+            except messages.IncompleteMessageError:
                 pass  # Logged by `_set_reachable`; connected again below.
+            except Exception as error:
+                # A frame of another release must not end the link for good.
+                self._log.write(
+                    "link failed",
+                    peer=self.member.record.node_id,
+                    error=repr(error),
+                )
             self._set_reachable(False)
             if refused:
                 # The process is gone, and with it all calls sent to it.
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -59,11 +59,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
-    """A backend server as its node announces it.
-
-    Attributes:
-      cold_until: Steady time in seconds, on the clock of the reader.
-    """
+    """A backend server as its node announces it."""
 
     instance: str
     service: ids.ServiceName
@@ -86,10 +82,6 @@
     waiting: int = 0
     service_ms: float = 0.0
 
-    def encode(self) -> list[Any]:
-        """Returns the load as a list of plain values."""
-        return [self.running, self.waiting, int(self.service_ms)]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteCount:
--- a/src/lycheestair/sidecar/node.py
+++ b/src/lycheestair/sidecar/node.py
@@ -88,7 +88,7 @@
         )
         self._table = members.MemberTable(own)
         self._metrics = metrics.Metrics()
-        self._planner = versions.VersionPlanner(self._table)
+        self._planner = versions.VersionPlanner(settings.bounds, self._table)
         self._server = serving.ServingNode(
             settings, platform.headers, self._log
         )
--- a/src/lycheestair/sidecar/peer_server.py
+++ b/src/lycheestair/sidecar/peer_server.py
@@ -100,18 +100,15 @@
                 frame = await frames.read(stream)
                 member.heard_at = clock.read_s()
                 self._handle(member, incarnation, stream, frame)
-        except (
-            OSError,
-            ValueError,
-            messages.IncompleteMessageError,
-            messages.MalformedMessageError,
-        ) as error:
-            if not isinstance(error, messages.IncompleteMessageError):
-                self._log.write(
-                    "peer connection ended",
-                    peer=member.record.node_id if member else None,
-                    error=repr(error),
-                )
+        except messages.IncompleteMessageError:
+            pass  # The other node closed the connection.
+        except Exception as error:
+            # A frame of another release must not leave the connection open.
+            self._log.write(
+                "peer connection failed",
+                peer=member.record.node_id if member else None,
+                error=repr(error),
+            )
         finally:
             self._streams.discard(stream)
             stream.abort()
@@ -193,18 +190,12 @@
             )
         running.stream.write(
             frames.encode(
-                links.encode_outcome(running.number, self._read_load(), outcome)
+                links.encode_outcome(
+                    running.number, self._server.admission.read_load(), outcome
+                )
             )
         )
 
-    def _read_load(self) -> list[int]:
-        admission = self._server.admission
-        return [
-            admission.running,
-            admission.waiting,
-            int(admission.service_s * 1000),
-        ]
-
     def _cancel(self, key: _Key) -> None:
         running = self._calls.get(key)
         if running is not None and running.task is not None:
--- a/src/lycheestair/sidecar/rollout.py
+++ b/src/lycheestair/sidecar/rollout.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from typing import Any
 
 from lycheestair import ids
 
@@ -34,3 +35,36 @@
     state: RolloutState
     revision: int
     created: int
+
+
+def encode(rollout: Rollout, age_s: float) -> list[Any]:
+    """Encodes a rollout for another node.
+
+    Args:
+      rollout: The rollout.
+      age_s: Time in seconds since its order was learned.
+    """
+    return [
+        rollout.service,
+        rollout.target,
+        rollout.duration_s,
+        rollout.state.value,
+        rollout.revision,
+        rollout.created,
+        age_s,
+    ]
+
+
+def decode(fields: list[Any]) -> tuple[Rollout, float]:
+    """Decodes a rollout and the age of its order.
+
+    Raises:
+      ValueError: The fields are not those of a rollout.
+    """
+    service, target, duration_s, state, revision, created, age_s = fields
+    return (
+        Rollout(
+            service, target, duration_s, RolloutState(state), revision, created
+        ),
+        age_s,
+    )
--- a/src/lycheestair/sidecar/versions.py
+++ b/src/lycheestair/sidecar/versions.py
@@ -8,18 +8,23 @@
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import members
 from lycheestair.sidecar import rollout as rollout_lib
+from lycheestair.sidecar import settings as settings_lib
 
-# Share of the new version from each part of the order's time on. The first
-# share lasts long enough for faults that show late; what a version that turns
-# bad at the last step has had until then stays below the exposure that the
-# operator allows.
+# Share of the new version from each part of the order's time on, as a multiple
+# of the exposure that the operator allows. The first share lasts long enough
+# for faults that show late; what a version that turns bad at the last step has
+# had until then stays below that exposure.
 SCHEDULE: Final = (
-    (0.0, 0.07),
-    (0.48, 0.2),
-    (0.58, 0.45),
-    (0.66, 1.0),
+    (0.0, 0.7),
+    (0.48, 2.0),
+    (0.58, 4.5),
 )
+FULL_SHARE_AT: Final = 0.66
 COMPLETE_AT: Final = 0.8
+# The old backend servers are stopped at the end, so that their requests need
+# this time after the full share; the order's own time goes before it.
+MIN_FULL_SHARE_S: Final = 1.0
+LATEST_COMPLETE_AT: Final = 0.95
 # Failures that are enough to judge a version, and how many more than the
 # others it may have.
 MIN_FAILURES: Final = 4
@@ -50,7 +55,8 @@
     needed to stop a bad version.
     """
 
-    def __init__(self, table: members.MemberTable):
+    def __init__(self, bounds: settings_lib.Bounds, table: members.MemberTable):
+        self._exposure_share = bounds.exposure_share
         self._table = table
         self._orders: dict[ids.ServiceName, _Order] = {}
         self._seen: dict[tuple[ids.ServiceName, ids.VersionName], float] = {}
@@ -98,10 +104,6 @@
         order = self._orders.get(service)
         return order.rollout if order else None
 
-    def read_age_s(self, service: ids.ServiceName) -> float:
-        """Returns the seconds since the order was learned."""
-        return clock.read_s() - self._orders[service].learned_at
-
     def read_bad_reason(self, service: ids.ServiceName) -> str:
         """Returns why the new version counts as bad, empty if it does not."""
         order = self._orders.get(service)
@@ -137,7 +139,10 @@
             return 0.0
         elapsed = clock.read_s() - order.learned_at
         part = elapsed / max(0.1, order.rollout.duration_s)
-        return max(share for start, share in SCHEDULE if part >= start)
+        if part >= FULL_SHARE_AT:
+            return 1.0
+        multiple = max(m for start, m in SCHEDULE if part >= start)
+        return min(1.0, multiple * self._exposure_share)
 
     @staticmethod
     def _spread(
@@ -210,3 +215,11 @@
                     f" other versions"
                 )
         return ""
+
+
+def find_end_s(duration_s: float) -> float:
+    """Returns when a good version's rollout ends, in seconds from its order."""
+    wanted_s = max(
+        duration_s * COMPLETE_AT, duration_s * FULL_SHARE_AT + MIN_FULL_SHARE_S
+    )
+    return min(wanted_s, duration_s * LATEST_COMPLETE_AT)
