Do not say not run after an attempt that may have run

Cause: a safe request whose first run failed (500) and whose second server refused it was answered 503, which promises that it has not run. Change: an attempt that may have run outweighs later ones that did not. The test fails without it (503 instead of 500).

--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -295,11 +295,16 @@
     async def _run(
         self, call: calls.Call, route: catalog_lib.Route, tried: list[str]
     ) -> calls.Outcome:
-        """Makes attempts until one counts as the outcome."""
+        """Makes attempts until one counts as the outcome.
+
+        An attempt that may have run outweighs later ones that did not: the
+        client must not be told that its request has not run.
+        """
         retries = self._budgets.find(call.service)
         retries.add_request()
         reached = overloaded = 0
-        last: calls.Outcome | None = None
+        outcome: calls.Outcome = calls.Refusal(errors.ErrorKind.NO_ENDPOINT)
+        may_have_run = False
         excluded: set[ids.NodeId] = set()
         while len(tried) < MAX_OFFERS:
             member = self._balancer.choose(call, excluded)
@@ -308,29 +313,26 @@
             node_id = member.record.node_id
             tried.append(node_id)
             excluded.add(node_id)
-            last = await self._attempt(call, member)
-            if isinstance(last, http1.Answer):
-                if last.status < FIRST_SERVER_ERROR or not call.idempotent:
-                    return last
+            latest = await self._attempt(call, member)
+            ran = isinstance(latest, http1.Answer) or not latest.not_run
+            if ran or not may_have_run:
+                outcome = latest
+            may_have_run |= ran
+            if not _may_retry(call, latest):
+                break
+            if isinstance(latest, http1.Answer) or latest.reached:
                 reached += 1
-            else:
-                if not last.not_run and not call.idempotent:
-                    return last
-                if last.kind is errors.ErrorKind.TIMEOUT:
-                    return last
-                reached += last.reached
-                overloaded += last.kind is errors.ErrorKind.OVERLOADED
-                if overloaded >= MAX_OVERLOADED:
-                    return last
+            elif latest.kind is errors.ErrorKind.OVERLOADED:
+                overloaded += 1
+            if overloaded >= MAX_OVERLOADED:
+                break
             if reached and (
                 reached >= route.max_attempts
                 or call.may_return
                 or not retries.try_spend()
             ):
-                return last
-        if last is None:
-            return calls.Refusal(errors.ErrorKind.NO_ENDPOINT)
-        return last
+                break
+        return outcome
 
     async def _attempt(
         self, call: calls.Call, member: members.Member
@@ -359,6 +361,15 @@
         return outcome
 
 
+def _may_retry(call: calls.Call, outcome: calls.Outcome) -> bool:
+    """Whether another backend server may be sent the request."""
+    if isinstance(outcome, http1.Answer):
+        return call.idempotent and outcome.status >= FIRST_SERVER_ERROR
+    if outcome.kind is errors.ErrorKind.TIMEOUT:
+        return False
+    return outcome.not_run or call.idempotent
+
+
 def _choose_service(route: catalog_lib.Route) -> ids.ServiceName:
     if len(route.split) == 1:
         return route.split[0].service
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -454,6 +454,42 @@
     play(scenario)
 
 
+def test_refusal_after_a_failed_run_does_not_say_not_run():
+    """Guards the promise of 503 for a request that ran at another server.
+
+    Seen in the log of trouble-2 of peloro-mesh: 503 after a run that failed.
+    """
+
+    async def scenario():
+        machines = (("n1", "desk"), ("n2", "desk", "v1", "b1"))
+        async with platform_world.run(*machines) as world:
+            first, second = world.machines
+
+            async def shed(request, stream):
+                stream.write(
+                    http1.encode_answer(
+                        http1.Answer(503, [(b"x-not-executed", b"1")], b""),
+                        request.method,
+                        True,
+                    )
+                )
+
+            first.worker.status = 500
+            second.worker.misbehave = shed
+            for _ in range(4):
+                request_id = platform_world.make_id()
+                answer = await first.request(
+                    deadline_ms=800, request_id=request_id
+                )
+                ran = any(
+                    seen.request.find(b"x-request-id") == request_id
+                    for seen in first.worker.seen
+                )
+                assert ran and answer.status == 500
+
+    play(scenario)
+
+
 def test_client_that_leaves_frees_the_server():
     """Guards against work for clients that are gone."""
 
