Send requests that must not run twice over connections used just now

Cause: a backend server may drop an idle connection unnoticed; what is sent next is reset, and for a request that must not run twice the outcome stays open.

--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import math
 import time
 from typing import Final
 
@@ -28,6 +29,9 @@
 # states, and for DEFAULT_IDLE_S if it states none.
 IDLE_SHARE: Final = 0.7
 DEFAULT_IDLE_S: Final = 0.3
+# A request that must not run twice is lost if the backend server has dropped
+# the connection unnoticed, so that it only takes one that was used just now.
+MAX_IDLE_ONCE_S: Final = 0.5
 MAX_FOREIGN_ANSWERS: Final = 4
 MISDIRECTED: Final = 421
 FIRST_SERVER_ERROR: Final = 500
@@ -219,7 +223,7 @@
         if endpoint is not self.endpoint:
             return calls.Refusal(errors.ErrorKind.DRAINING)
         try:
-            connection = await self._check_out()
+            connection = await self._check_out(call.idempotent)
         except OSError as error:
             # Nothing listens: calls go elsewhere until the next heartbeat.
             if isinstance(error, ConnectionRefusedError):
@@ -323,13 +327,15 @@
             call.method, call.target, headers, call.body
         )
 
-    async def _check_out(self) -> _Connection:
+    async def _check_out(self, idempotent: bool) -> _Connection:
         now = clock.read_s()
+        limit_s = math.inf if idempotent else MAX_IDLE_ONCE_S
         while self._idle:
             connection = self._idle.pop()
             stream = connection.stream
             if (
-                now - connection.idle_since < connection.max_idle_s
+                now - connection.idle_since
+                < min(connection.max_idle_s, limit_s)
                 and not stream.ended
                 and not stream.buffered
             ):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -490,6 +490,28 @@
     play(scenario)
 
 
+def test_order_does_not_use_a_connection_that_was_long_idle():
+    """Guards against orders lost on a connection that the server dropped."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk")) as world:
+            machine = world.machines[0]
+            ports = []
+
+            async def answer(request, stream):
+                ports.append(stream._transport.get_extra_info("peername")[1])
+                stream.write(machine.worker.encode(request))
+
+            machine.worker.misbehave = answer
+            await machine.request("/order/1", b"POST")
+            await machine.request("/order/2", b"POST")
+            await asyncio.sleep(0.7)
+            await machine.request("/order/3", b"POST")
+            assert ports[0] == ports[1] != ports[2]
+
+    play(scenario)
+
+
 def test_client_that_leaves_frees_the_server():
     """Guards against work for clients that are gone."""
 
