--- /dev/null
+++ b/tests/test_platform_fuzz.py
@@ -0,0 +1,117 @@
+"""Decoders of the platform path raise only their own errors."""
+
+import contextlib
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import orjson
+import platform_standins as standins
+
+from lycheestair import messages
+from lycheestair.platform import documents
+from lycheestair.platform import objects
+from lycheestair.platform import requests
+from lycheestair.platform import settings as settings_lib
+from lycheestair.sidecar import calls
+from lycheestair.sidecar import catalog
+from lycheestair.sidecar import frames
+from lycheestair.sidecar import http1
+from lycheestair.sidecar import members
+from lycheestair.sidecar import store
+
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**40), 2**40)
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=8),
+    lambda inner: strategies.lists(inner, max_size=4)
+    | strategies.dictionaries(strategies.text(max_size=8), inner, max_size=4),
+    max_leaves=12,
+)
+CODEC = documents.DocumentCodec()
+CONFIG = standins.make_config(
+    7, [("view", "/view/", "safe", [("desk", 90), ("press", 10)])]
+)
+HEARTBEAT = {
+    "address": "127.0.0.1:1",
+    "born": 1,
+    "information": {"service": "s", "version": "v", "zone": "z", "slots": 4},
+    "status": {"state": "ready", "sequence": 1, "cold_remaining_s": 0},
+}
+
+
+def replace_somewhere(draw, document, value):
+    """Puts a value in the place of a random part of a document."""
+    if isinstance(document, dict) and document and draw.random() > 0.15:
+        key = draw.choice(sorted(document))
+        return {
+            **document,
+            key: replace_somewhere(draw, document[key], value),
+        }
+    if isinstance(document, list) and document and draw.random() > 0.15:
+        index = draw.randrange(len(document))
+        return [
+            replace_somewhere(draw, part, value) if place == index else part
+            for place, part in enumerate(document)
+        ]
+    return value
+
+
+@settings(max_examples=300, deadline=None)
+@given(strategies.randoms(use_true_random=False), VALUES)
+def test_foreign_configuration_is_refused_or_decoded(draw, value):
+    """Guards against an entry of another writer that ends the feeder."""
+    document = replace_somewhere(draw, CONFIG, value)
+    item = store.StoredItem("main", 1, 1, document, value)
+    with contextlib.suppress(store.DocumentError):
+        decoded = CODEC.decode_catalog(item)
+        decoded.match("shop.example", "/view/1")
+        changed = catalog.apply_change(
+            catalog.EMPTY, catalog.encode_change(catalog.EMPTY, decoded)
+        )
+        assert changed.routes == decoded.routes
+    with contextlib.suppress(store.DocumentError):
+        CODEC.decode_rollout(item)
+
+
+@settings(max_examples=300, deadline=None)
+@given(strategies.randoms(use_true_random=False), VALUES)
+def test_foreign_heartbeat_is_refused_or_decoded(draw, value):
+    """Guards against a check-in of another writer that ends the node."""
+    body = orjson.dumps(replace_somewhere(draw, HEARTBEAT, value))
+    for call in ("instances.heartbeat", "instances.deregister"):
+        request = http1.Request(
+            b"POST", f"/-/rpc?call={call}&of=i-1".encode(), "h", [], body
+        )
+        with contextlib.suppress(requests.AnnouncementError):
+            report = requests.decode_announcement(request)
+            assert report.slots >= 0
+
+
+@settings(max_examples=200, deadline=None)
+@given(VALUES)
+def test_foreign_parts_of_frames_are_refused(value):
+    """Guards against a peer of another release that ends the node."""
+    with contextlib.suppress(ValueError):
+        members.decode_record(value)
+    with contextlib.suppress(store.StoreUnavailableError):
+        objects._decode(value)
+    fields = value if isinstance(value, list) else [value]
+    with contextlib.suppress(ValueError):
+        calls.decode_call(fields)
+    with contextlib.suppress(catalog.CatalogError):
+        catalog.apply_change(catalog.EMPTY, fields)
+
+
+@settings(max_examples=200, deadline=None)
+@given(strategies.binary(max_size=64))
+def test_foreign_bytes_are_refused(data):
+    """Guards against bytes that are no frame, head or settings."""
+    with contextlib.suppress(ValueError):
+        frames.decompress(data)
+    with contextlib.suppress(messages.MalformedMessageError):
+        messages.parse_request_line(messages.parse_head(data + b"\r\n\r\n"))
+    with contextlib.suppress(settings_lib.SettingsError):
+        settings_lib.decode(data.decode("latin-1"))
--- /dev/null
+++ b/tests/test_platform_operations.py
@@ -0,0 +1,106 @@
+"""Follows docs/OPERATIONS.md from a failed request's id to its cause."""
+
+import asyncio
+import logging as std_logging
+import pathlib
+import re
+
+from absl import logging
+import platform_world
+import pytest
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
+SOURCE = pathlib.Path(__file__).parent.parent / "src" / "lycheestair"
+
+
+class _Collector(std_logging.Handler):
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        fields = getattr(record, "fields", None) or {}
+        self.lines.append({"message": record.getMessage(), **fields})
+
+    def find(self, request_id, message):
+        return [
+            line
+            for line in self.lines
+            if line["message"] == message
+            and line.get("id") == request_id.decode()
+        ]
+
+
+@pytest.fixture
+def log():
+    collector = _Collector()
+    logger = logging.get_absl_logger()
+    level = logger.level
+    logger.addHandler(collector)
+    logger.setLevel(std_logging.INFO)
+    yield collector
+    logger.removeHandler(collector)
+    logger.setLevel(level)
+
+
+def test_messages_of_the_page_exist():
+    """Guards against a page that names lines which nothing writes."""
+    text = "\n".join(path.read_text() for path in SOURCE.glob("sidecar/*.py"))
+    rows = re.findall(r"^\| (`[^|]+) \|", PAGE.read_text(), re.MULTILINE)
+    names = {name for row in rows for name in re.findall("`([^`]+)`", row)}
+    assert len(names) > 20
+    for name in names - {"message"}:
+        assert f'"{name}"' in text, name
+
+
+@pytest.mark.parametrize(
+    ("walk", "status", "kind", "reached"),
+    [
+        ("overload", 503, "overloaded", False),
+        ("loss", 502, "connection_lost", True),
+        ("slow", 504, "timeout", True),
+    ],
+)
+def test_walk_leads_from_the_id_to_the_cause(log, walk, status, kind, reached):
+    """Guards the walks that engineers on call take."""
+
+    async def scenario():
+        machines = (("n1", "desk"), ("n2", "press"))
+        async with platform_world.run(*machines) as world:
+            entry, server = world.machines
+            if walk == "loss":
+
+                async def vanish(request, stream):
+                    stream.abort()
+
+                server.worker.misbehave = vanish
+            else:
+                server.worker.work_s = 0.5 if walk == "overload" else 5.0
+            count = 40 if walk == "overload" else 1
+            request_ids = [platform_world.make_id() for _ in range(count)]
+            answers = await asyncio.gather(
+                *(
+                    entry.request("/press/1", b"POST", request_id=request_id)
+                    for request_id in request_ids
+                )
+            )
+            found = [
+                request_id
+                for request_id, answer in zip(request_ids, answers, strict=True)
+                if answer.status == status
+            ]
+            request_id = found[-1]
+            (refused,) = log.find(request_id, "request refused")
+            assert refused["kind"] == kind
+            assert refused["tried"] == ["n2"]
+            assert refused["node"] == "n1"
+            assert refused["generation"] == 7
+            if walk != "slow":
+                (call,) = log.find(request_id, "call refused")
+                assert (call["node"], call["origin"]) == ("n2", "n1")
+                assert (call["kind"], call["reached"]) == (kind, reached)
+                if walk == "overload":
+                    assert call["running"] == 4
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
