Keep new versions to their share when the old one has no room

Cause: the choice among versions left out those whose backend servers had been tried, so that a repeat of a call went to the new version whatever its share.

--- a/src/lycheestair/sidecar/balancer.py
+++ b/src/lycheestair/sidecar/balancer.py
@@ -5,6 +5,7 @@
 
 from lycheestair import ids
 from lycheestair.sidecar import calls
+from lycheestair.sidecar import clock
 from lycheestair.sidecar import members
 from lycheestair.sidecar import settings as settings_lib
 from lycheestair.sidecar import versions as versions_lib
@@ -41,29 +42,47 @@
         self, call: calls.Call, excluded: set[ids.NodeId]
     ) -> members.Member | None:
         """Returns the member for the next attempt, None if none is left."""
-        usable = [
-            member
-            for member in self._table.list_serving(call.service)
-            if member.reachable
-            and member.record.node_id not in excluded
-            and (not member.leaving or member is self._table.own)
-        ]
-        if not usable:
-            return None
+        now = clock.read_s()
+        by_version: dict[ids.VersionName, list[members.Member]] = {}
+        for member in self._table.list_serving(call.service):
+            if (
+                member.endpoint is not None
+                and member.reachable
+                and (not member.leaving or member is self._table.own)
+            ):
+                by_version.setdefault(member.endpoint.version, []).append(
+                    member
+                )
         shares = self._planner.compute_shares(
             call.service,
             self._table.list_versions(call.service),
         )
-        present = {m.endpoint.version for m in usable if m.endpoint}
-        allowed = {v: shares[v] for v in present if shares.get(v)}
+        allowed = {v: shares[v] for v in by_version if shares.get(v)}
         if not allowed:
             return None
-        version = _choose_weighted(allowed)
+        drawn = _choose_weighted(allowed)
+        # A version whose backend servers have no room is replaced by one with
+        # a larger share only: a new version gets no more than its share.
+        for version in sorted(allowed, key=lambda v: (v != drawn, -allowed[v])):
+            candidates = [
+                member
+                for member in by_version[version]
+                if member.record.node_id not in excluded
+                and (
+                    member is self._table.own
+                    or not member.is_held(call.priority, now)
+                )
+            ]
+            if candidates and allowed[version] >= allowed[drawn]:
+                return self._choose_nearest(call, candidates)
+        return None
+
+    def _choose_nearest(
+        self, call: calls.Call, candidates: list[members.Member]
+    ) -> members.Member:
         best: list[members.Member] = []
         best_ms = 0.0
-        for member in usable:
-            if member.endpoint is None or member.endpoint.version != version:
-                continue
+        for member in candidates:
             cost_ms = self._estimate_ms(member, len(call.body))
             if not best or cost_ms < best_ms - SPREAD_MS:
                 best, best_ms = [member], cost_ms
@@ -74,6 +93,20 @@
         call.instance = member.endpoint.instance
         return member
 
+    def find_hold(self, call: calls.Call) -> calls.Refusal | None:
+        """Returns the latest refusal of a node that has no room for a call."""
+        now = clock.read_s()
+        holds = [
+            member.hold
+            for member in self._table.list_serving(call.service)
+            if member.hold is not None and member.is_held(call.priority, now)
+        ]
+        if not holds:
+            return None
+        return min(
+            (hold.refusal for hold in holds), key=lambda r: r.retry_after_s
+        )
+
     def _estimate_ms(self, member: members.Member, size: int) -> float:
         """Returns the expected time of a request at a member, and its cost."""
         endpoint = member.endpoint
--- /dev/null
+++ b/tests/test_platform_balancer.py
@@ -0,0 +1,108 @@
+"""Choice of the backend server: exposure under load, and nodes without room."""
+
+import types
+
+import pytest
+
+from lycheestair import errors
+from lycheestair.sidecar import balancer as balancer_lib
+from lycheestair.sidecar import calls
+from lycheestair.sidecar import clock
+from lycheestair.sidecar import members
+
+FULL = calls.Refusal(errors.ErrorKind.OVERLOADED, retry_after_s=0.2)
+
+
+class Planner:
+
+    def __init__(self, shares):
+        self.shares = shares
+
+    def compute_shares(self, service, present):
+        return self.shares
+
+
+def make_record(name):
+    return members.NodeRecord(name, f"{name}:1", "a1", "north", 1)
+
+
+def make_balancer(shares, *versions):
+    """Returns a balancer; node number n serves the n-th version."""
+    table = members.MemberTable(make_record("own"))
+    for number, version in enumerate(versions, 1):
+        member = table.add(make_record(f"n{number}"))
+        member.reachable = True
+        member.endpoint = members.Endpoint(
+            f"i{number}",
+            "desk",
+            version,
+            4,
+            members.backend.BackendState.SERVING,
+        )
+    table.index()
+    settings = types.SimpleNamespace(region="north", failure_domain="a1")
+    return table, balancer_lib.Balancer(settings, table, Planner(shares))
+
+
+def make_call(priority=1):
+    return calls.Call(
+        b"1",
+        b"GET",
+        b"/",
+        [],
+        b"",
+        "desk",
+        "view",
+        "",
+        True,
+        priority,
+        clock.read_s() + 3,
+        clock.read_s() + 1,
+        "desk",
+    )
+
+
+def test_new_version_gets_no_more_than_its_share_when_the_old_one_is_full():
+    """Guards against exposure to a bad version by retries under load."""
+    _, balancer = make_balancer({"v1": 0.93, "v2": 0.07}, "v1", "v2")
+    chosen = [balancer.choose(make_call(), {"n1"}) for _ in range(2000)]
+    # The binomial's 0.07 with five standard deviations.
+    assert sum(member is not None for member in chosen) < 2000 * 0.1
+
+
+def test_old_version_takes_what_the_new_one_has_no_room_for():
+    """Guards against refusals while servers of the old version are free."""
+    _, balancer = make_balancer({"v1": 0.93, "v2": 0.07}, "v1", "v2")
+    chosen = {balancer.choose(make_call(), {"n2"}) for _ in range(200)}
+    assert [member.record.node_id for member in chosen] == ["n1"]
+
+
+@pytest.mark.parametrize(
+    ("priority", "held"), [(0, False), (1, True), (2, True)]
+)
+def test_node_without_room_is_spared_calls_that_it_would_refuse(priority, held):
+    """Guards the bytes between regions under overload, and urgent calls."""
+    table, balancer = make_balancer({"v1": 1.0}, "v1")
+    table.find("n1").note_refusal(1, FULL)
+    call = make_call(priority)
+    assert (balancer.choose(call, set()) is None) == held
+    refusal = balancer.find_hold(call)
+    assert (refusal is FULL) == held
+
+
+def test_node_without_room_is_asked_again_soon(monkeypatch):
+    """Guards against slots that run empty after a burst."""
+    table, balancer = make_balancer({"v1": 1.0}, "v1")
+    table.find("n1").note_refusal(1, FULL)
+    later = clock.read_s() + FULL.retry_after_s
+    monkeypatch.setattr(clock, "read_s", lambda: later)
+    assert balancer.choose(make_call(), set()) is not None
+
+
+def test_restarted_node_is_not_held():
+    """Guards against what was known of an earlier incarnation."""
+    table, balancer = make_balancer({"v1": 1.0}, "v1")
+    member = table.find("n1")
+    member.note_refusal(0, FULL)
+    member.restart(member.record)
+    assert member.hold is None
