--- a/src/lycheestair/sidecar/calls.py
+++ b/src/lycheestair/sidecar/calls.py
@@ -20,6 +20,7 @@
       objective: Steady time in seconds until which it has its full value.
       service: Service that it is for; the serving node does not need it.
       may_return: Whether its client would send it again after a failure.
+      repeat: Whether another backend server has been sent it before.
       caller: Service of the instance where the request began.
     """
 
@@ -37,6 +38,7 @@
     objective: float
     service: ids.ServiceName = ids.ServiceName("")
     may_return: bool = False
+    repeat: bool = False
 
     @property
     def remaining_s(self) -> float:
@@ -57,6 +59,7 @@
             self.instance,
             self.idempotent,
             self.priority,
+            self.repeat,
             int((self.deadline - now) * 1000),
             int((self.objective - now) * 1000),
         ]
@@ -69,10 +72,11 @@
       ValueError: The fields are not those of a call.
     """
     try:
-        *values, deadline_ms, objective_ms = fields
+        *values, repeat, deadline_ms, objective_ms = fields
         now = clock.read_s()
         values += [now + deadline_ms / 1000, now + objective_ms / 1000]
         call = Call(*values)
+        call.repeat = bool(repeat)
         call.headers = [(name, value) for name, value in call.headers]
         return call
     except TypeError as error:
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -59,6 +59,7 @@
         gossip: gossip_lib.Gossip,
         planner: versions_lib.VersionPlanner,
         server: serving.ServingNode,
+        budgets: budget.RetryBudgets,
         log: journal.Journal,
         values: metrics.Metrics,
     ):
@@ -83,7 +84,7 @@
         self._metrics = values
         # Longest time in seconds that a client of a route has waited.
         self._full_wait_s: dict[ids.RouteName, float] = {}
-        self._budgets = budget.RetryBudgets(settings.bounds, table)
+        self._budgets = budgets
         self._connections: set[streams.Stream] = set()
         self._idle: set[streams.Stream] = set()
 
@@ -335,6 +336,7 @@
                 or not retries.try_spend()
             ):
                 break
+            call.repeat = reached > 0
         return outcome
 
     async def _attempt(
--- a/src/lycheestair/sidecar/node.py
+++ b/src/lycheestair/sidecar/node.py
@@ -9,6 +9,7 @@
 from lycheestair import ids
 from lycheestair import messages
 from lycheestair.sidecar import backend
+from lycheestair.sidecar import budget
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import entry
 from lycheestair.sidecar import feeder
@@ -89,8 +90,11 @@
         self._table = members.MemberTable(own)
         self._metrics = metrics.Metrics()
         self._planner = versions.VersionPlanner(settings.bounds, self._table)
+        budgets = budget.RetryBudgets(
+            settings.service, settings.bounds, self._table
+        )
         self._server = serving.ServingNode(
-            settings, platform.headers, self._log
+            settings, platform.headers, budgets, self._log
         )
         self._gossip = gossip.Gossip(
             settings, self._table, self._server, self._planner, self._log
@@ -103,6 +107,7 @@
             self._gossip,
             self._planner,
             self._server,
+            budgets,
             self._log,
             self._metrics,
         )
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -12,6 +12,7 @@
 from lycheestair import messages
 from lycheestair.sidecar import admission as admission_lib
 from lycheestair.sidecar import backend
+from lycheestair.sidecar import budget
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import http1
@@ -60,6 +61,7 @@
         self,
         settings: settings_lib.SidecarSettings,
         headers: backend.HeaderNames,
+        budgets: budget.RetryBudgets,
         log: journal.Journal,
     ):
         self.admission = admission_lib.Admission()
@@ -68,6 +70,7 @@
         self.counts: dict[ids.RouteName, list[int]] = {}
         self._settings = settings
         self._headers = headers
+        self._budgets = budgets
         self._log = log
         self._latest: backend.Announcement | None = None
         self._heard_at = 0.0
@@ -192,6 +195,7 @@
     ) -> calls.Outcome:
         measured = False
         started = clock.read_s()
+        self._budgets.add_run(call.repeat)
         try:
             outcome = await self._send(endpoint, call)
             measured = (
