Exchange statuses between regions by relays instead of a full mesh

Cause: each node kept a connection to each other one, greeted it with the records of all, and sent it its status.

Change: nodes stay connected within their region. Two relays a region exchange digests of their nodes; feeders send a configuration to one relay a region, which passes it on. Calls to another region connect when they are made.

--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -64,19 +64,30 @@
     async def run(self) -> None:
         """Joins, then feeds while it is this node's turn."""
         await self._retry(self._register)
+        kinds = self._kinds
         async with asyncio.TaskGroup() as group:
-            group.create_task(
-                self._watch(
-                    self._kinds.configuration, WATCH_S, self._take_catalogs
-                )
-            )
-            group.create_task(
-                self._watch(self._kinds.rollouts, WATCH_S, self._take_rollouts)
-            )
-            group.create_task(
-                self._watch(self._kinds.nodes, NODES_WATCH_S, self._take_nodes)
-            )
-            group.create_task(self._control())
+            for work in (
+                lambda: self._watch(
+                    kinds.configuration, WATCH_S, self._take_catalogs
+                ),
+                lambda: self._watch(
+                    kinds.rollouts, WATCH_S, self._take_rollouts
+                ),
+                lambda: self._watch(
+                    kinds.nodes, NODES_WATCH_S, self._take_nodes
+                ),
+                self._control,
+            ):
+                group.create_task(self._repeat(work))
+
+    async def _repeat(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Starts work anew that has failed; a node serves without it."""
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                self._log.write("feeder task failed", error=repr(error))
+            await asyncio.sleep(RETRY_MAX_S)
 
     # Turns.
 
@@ -328,7 +339,9 @@
             since = self._unreachable_since.get(node_id, now)
             if not lost and now - since < REMOVE_AFTER_S:
                 continue
-            del self._record_revisions[name]
+            # The watch may have told of it during the call before.
+            if self._record_revisions.pop(name, None) is None:
+                continue
             await self._store.delete(self._kinds.nodes, name, revision)
             self._gossip.remove_member(node_id)
             self._log.write("record removed", peer=name)
--- a/src/lycheestair/sidecar/frames.py
+++ b/src/lycheestair/sidecar/frames.py
@@ -30,6 +30,7 @@
     CONFIGURATION_WANTED = 9
     ROLLOUTS = 10
     CONFIGURATION_KNOWN = 11
+    DIGEST = 12
 
 
 Frame = list[Any]
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -13,6 +13,7 @@
 from lycheestair.sidecar import journal
 from lycheestair.sidecar import links
 from lycheestair.sidecar import members
+from lycheestair.sidecar import regions as regions_lib
 from lycheestair.sidecar import replica as replica_lib
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import serving
@@ -20,9 +21,11 @@
 from lycheestair.sidecar import versions as versions_lib
 
 TICK_S: Final = 0.1
-# Loads change within tenths of a second; bytes between regions are dear.
+# Loads change within tenths of a second, and answers carry them besides.
 STATUS_INTERVAL_S: Final = 0.5
-FAR_STATUS_INTERVAL_S: Final = 2.0
+# With more nodes in the region each sends its status less often: what a node
+# receives in a second stays the same.
+STATUS_NODES: Final = 15
 # Nodes that watch the store for all. Each watch costs calls; more than one so
 # that a change arrives although a node or its way to the store is lost.
 FEEDERS: Final = 3
@@ -57,12 +60,19 @@
         self._planner = planner
         self._log = log
         self._links: dict[ids.NodeId, links.PeerLink] = {}
+        self.regions = regions_lib.RegionExchange(
+            settings.region,
+            table,
+            self._links,
+            self._take_reported,
+            self._encode_status,
+            log,
+        )
         self.replica = replica_lib.CatalogReplica(
-            settings.region, table, self._links, self.list_feeders, log
+            table, self._links, self.regions, self.list_feeders, log
         )
         self._status_number = 0
-        self._near_at = 0.0
-        self._far_at = 0.0
+        self._status_at = 0.0
         self._counted_revision = 0
 
     @property
@@ -103,11 +113,12 @@
                 self.handle,
                 self._on_change,
                 self._take_reuse,
+                self.regions.is_near(member),
                 self._log,
             )
             self._links[record.node_id] = link
             link.start()
-        elif link is not None and not link.member.reachable:
+        elif link is not None and not link.connected:
             link.retry()
         return member
 
@@ -144,13 +155,20 @@
         self._table.remove(node_id)
 
     def _on_change(self, member: members.Member) -> None:
-        if member.reachable:
-            link = self._links[member.record.node_id]
-            link.send(self._encode_rollouts())
-            if not self.catalog.generation and member.generation:
-                self.replica.fetch(member)
-        else:
+        if not member.reachable:
             member.generation = ids.Generation(0)
+            return
+        link = self._links[member.record.node_id]
+        if self.regions.is_near(member) or link.wanted:
+            link.send(self._encode_rollouts())
+            self.regions.greet(link)
+        if not self.catalog.generation and member.generation:
+            self.replica.fetch(member)
+        elif (
+            not self.regions.is_near(member)
+            and self._table.own in self.list_feeders()
+        ):
+            self.replica.send(link, member.generation)
 
     def greet(self) -> list[frames.Frame]:
         """Returns the frames that begin a connection."""
@@ -159,11 +177,6 @@
                 frames.FrameType.HELLO,
                 self._table.own.record.encode(),
                 self._encode_status(),
-                [
-                    member.record.encode()
-                    for member in self._table.list_others()
-                    if member.reachable
-                ],
             ]
         ]
 
@@ -176,8 +189,6 @@
             record = members.decode_record(frame[1])
             self.add_record(record)
             self._take_status(member, frame[2])
-            for fields in frame[3]:
-                self.add_record(members.decode_record(fields))
         elif kind == frames.FrameType.STATUS:
             self._take_status(member, frame[1])
         elif kind == frames.FrameType.CONFIGURATION:
@@ -189,8 +200,28 @@
             if link is not None:
                 self.replica.send(link, ids.Generation(frame[1]))
         elif kind == frames.FrameType.ROLLOUTS:
-            for fields in frame[1]:
+            news = [
                 self.take_rollout(*rollout_lib.decode(fields))
+                for fields in frame[1]
+            ]
+            if any(news) and not self.regions.is_near(member):
+                self.publish_rollouts()
+        elif kind == frames.FrameType.DIGEST:
+            self.regions.take_digest(member, frame[1])
+
+    def _take_reported(
+        self, record: members.NodeRecord, status: list[Any] | None
+    ) -> None:
+        """Takes over what a relay reports of a node in its region."""
+        member = self.add_record(record)
+        if member is None or member.record.incarnation > record.incarnation:
+            return
+        link = self._links.get(record.node_id)
+        if status is None:
+            member.reachable = link is not None and link.connected
+        elif status[0] > member.status_number:
+            self._take_status(member, status)
+            member.reachable = True
 
     def _take_status(self, member: members.Member, fields: list[Any]) -> None:
         (
@@ -207,6 +238,7 @@
         if number <= member.status_number:
             return
         member.status_number = number
+        member.status = fields
         member.leaving = leaving
         member.store_ok = store_ok
         member.store_ms = store_ms
@@ -277,18 +309,21 @@
         ]
 
     def publish_status(self) -> None:
-        """Sends the own status to all members at once."""
+        """Sends the own status to the members of the region at once."""
         own = self._table.own
         if own.endpoint != self._server.endpoint:
             own.endpoint = self._server.endpoint
             self._table.index()
-        self._send_status(lambda member: True)
-
-    def _send_status(self, select: Any) -> None:
         data = frames.encode([frames.FrameType.STATUS, self._encode_status()])
-        for link in self._links.values():
-            if select(link.member):
-                link.send_bytes(data)
+        for link in self._list_near_links():
+            link.send_bytes(data)
+
+    def _list_near_links(self) -> list[links.PeerLink]:
+        return [
+            link
+            for link in self._links.values()
+            if self.regions.is_near(link.member)
+        ]
 
     # Feeders.
 
@@ -330,9 +365,9 @@
         return True
 
     def publish_rollouts(self) -> None:
-        """Sends the known rollouts to all members."""
+        """Sends the known rollouts to the own region and to other relays."""
         data = frames.encode(self._encode_rollouts())
-        for link in self._links.values():
+        for link in self._list_near_links() + self.regions.list_links():
             link.send_bytes(data)
 
     def _encode_rollouts(self) -> frames.Frame:
@@ -366,7 +401,14 @@
         self._table.own.report_load(*self._server.admission.read_load())
         for link in list(self._links.values()):
             link.check()
-        self._send_due_status(now)
+        if now - self._status_at >= STATUS_INTERVAL_S * max(
+            1.0, len(self._list_near_links()) / STATUS_NODES
+        ):
+            self._status_at = now
+            self.publish_status()
+        self.regions.choose_links(self.list_feeders())
+        self.regions.send_due(now, self._planner.in_rollout)
+        self.regions.expire(now)
         self.replica.fetch_newer(now)
         for rollout in self._planner.judge():
             self._log.write(
@@ -375,12 +417,3 @@
                 version=rollout.target,
                 reason=self._planner.read_bad_reason(rollout.service),
             )
-
-    def _send_due_status(self, now: float) -> None:
-        region = self._settings.region
-        if now - self._far_at >= FAR_STATUS_INTERVAL_S:
-            self._far_at = self._near_at = now
-            self._send_status(lambda member: True)
-        elif now - self._near_at >= STATUS_INTERVAL_S:
-            self._near_at = now
-            self._send_status(lambda member: member.record.region == region)
--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import itertools
+import math
 import random
 from typing import Any
 from typing import Final
@@ -28,6 +30,9 @@
 IDLE_PING_AFTER_S: Final = 1.5
 # Without an answer for this long the connection is replaced.
 SILENCE_LIMIT_S: Final = 0.8
+# A connection that was opened for calls alone is closed after this time
+# without one: as long as clients of a busy instance keep theirs.
+IDLE_CLOSE_S: Final = 10.0
 
 # Numbers of calls are unique in the process: two links may lead to one node
 # for a moment, after an address has got a new owner.
@@ -67,6 +72,11 @@
 
     The other node recognizes a call that is sent again over a new connection,
     so that a lost connection loses no call while both processes live.
+
+    Attributes:
+      wanted: Whether it stays connected without calls. Other links connect
+        for calls and close when they are idle; whether their member can be
+        reached is then told by others.
     """
 
     def __init__(
@@ -76,6 +86,7 @@
         on_frame: FrameHandler,
         on_change: Callable[[members.Member], None],
         on_reuse: Callable[[members.Member, members.NodeRecord], None],
+        wanted: bool,
         log: journal.Journal,
     ):
         """Initializes a link that is not connected.
@@ -86,9 +97,11 @@
           on_frame: Handles frames that are not about calls.
           on_change: Called when the other node becomes reachable or not.
           on_reuse: Called when the address belongs to another node now.
+          wanted: Whether it stays connected without calls.
           log: Log of the node.
         """
         self.member = member
+        self.wanted = wanted
         self._greet = greet
         self._on_frame = on_frame
         self._on_change = on_change
@@ -101,6 +114,16 @@
         self._pinged_at = 0.0
         self._task: asyncio.Task[None] | None = None
         self._retry_now = asyncio.Event()
+        self._needed = asyncio.Event()
+        self._used_at = -math.inf
+        self._closing = False
+        # Set once the attempt to connect that is under way has ended.
+        self._attempted = asyncio.Event()
+
+    @property
+    def connected(self) -> bool:
+        """Whether frames can be sent."""
+        return self._stream is not None
 
     def start(self) -> None:
         """Starts to connect."""
@@ -118,19 +141,32 @@
         """Connects at once instead of after the pause."""
         self._retry_now.set()
 
+    def want(self, wanted: bool) -> None:
+        """Sets whether the link stays connected without calls."""
+        self.wanted = wanted
+        if wanted:
+            self._needed.set()
+
+    def wake(self) -> None:
+        """Connects for something that is to be sent soon."""
+        self._used_at = clock.read_s()
+        self._needed.set()
+
     def send(self, frame: frames.Frame) -> bool:
         """Sends a frame; False if the other node is not reachable."""
         return self.send_bytes(frames.encode(frame))
 
     def send_bytes(self, data: bytes) -> bool:
         """Sends an encoded frame; False if the node is not reachable."""
-        if self._stream is None or not self.member.reachable:
+        if self._stream is None:
             return False
         self._stream.write(data)
         return True
 
     async def call(self, call: calls.Call) -> calls.Outcome:
         """Sends a call and waits for its outcome."""
+        if not self.wanted:
+            await self._open(call)
         number = next(_NUMBERS)
         pending = _Pending(call)
         if not self.send([frames.FrameType.REQUEST, number, call.encode()]):
@@ -150,12 +186,28 @@
             self.member.sent -= 1
             self._pending.pop(number, None)
 
+    async def _open(self, call: calls.Call) -> None:
+        """Connects a link that is not connected all the time."""
+        self.wake()
+        if self._stream is not None:
+            return
+        self._attempted.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(
+                max(0.0, min(CONNECT_TIMEOUT_S, call.remaining_s))
+            ):
+                await self._attempted.wait()
+
     def check(self) -> None:
         """Asks a silent link for a sign and replaces a dead one."""
         stream = self._stream
-        if stream is None or not self.member.reachable:
+        if stream is None:
             return
         now = clock.read_s()
+        if not self._is_needed(now):
+            self._closing = True
+            stream.close()
+            return
         if self._pinged_at > self._heard_at:
             if now - self._pinged_at > SILENCE_LIMIT_S:
                 self._log.write(
@@ -171,10 +223,18 @@
             self._pinged_at = now
             self.send([frames.FrameType.PING])
 
+    def _is_needed(self, now: float) -> bool:
+        return bool(
+            self.wanted or self._pending or now - self._used_at < IDLE_CLOSE_S
+        )
+
     async def _run(self) -> None:
         backoff_s = MIN_BACKOFF_S
         while True:
             refused = False
+            while not self._is_needed(clock.read_s()):
+                self._needed.clear()
+                await self._needed.wait()
             try:
                 stream = await streams.connect(
                     self.member.record.address, CONNECT_TIMEOUT_S
@@ -200,12 +260,17 @@
                     peer=self.member.record.node_id,
                     error=repr(error),
                 )
-            self._set_reachable(False)
+            self._end_connection()
             if refused:
                 # The process is gone, and with it all calls sent to it.
                 self._fail_pending(lambda _: True)
             else:
                 self._fail_pending(lambda call: call.idempotent)
+            self._attempted.set()
+            if not self.wanted and not self._pending:
+                # Connects again for the next call.
+                self._used_at = -math.inf
+                continue
             self._retry_now.clear()
             pause_s = random.uniform(0.5, 1.0) * backoff_s
             try:
@@ -230,8 +295,10 @@
         self._heard_at = clock.read_s()
         self._pinged_at = 0.0
         self._stream = stream
+        self._closing = False
         self._on_frame(self.member, hello)
         self._set_reachable(True)
+        self._attempted.set()
         for number, pending in list(self._pending.items()):
             self.send([frames.FrameType.REQUEST, number, pending.call.encode()])
         while True:
@@ -252,12 +319,18 @@
         elif kind != frames.FrameType.PONG:
             self._on_frame(self.member, frame)
 
+    def _end_connection(self) -> None:
+        self._stream = None
+        if not self._closing:
+            self.member.lost_at = clock.read_s()
+            self._set_reachable(False)
+        self._closing = False
+
     def _set_reachable(self, reachable: bool) -> None:
-        if not reachable:
-            self._stream = None
-        if self.member.reachable == reachable:
-            return
+        changed = self.member.reachable != reachable
         self.member.reachable = reachable
+        if not changed and not reachable:
+            return
         self._log.write(
             "peer reachable" if reachable else "peer lost",
             peer=self.member.record.node_id,
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -127,6 +127,8 @@
       load: Load that it reported last.
       sent: Requests sent to it and not answered.
       heard_at: Steady time of its last frame.
+      status: Its latest status as it was sent, None before the first one.
+      lost_at: Steady time at which a connection to it failed.
       tried: Whether it has been sent a request in this incarnation.
       hold: Its last refusal for lack of room.
     """
@@ -146,6 +148,8 @@
         self.sent = 0
         self.sent_at_report = 0
         self.heard_at = 0.0
+        self.status: list[Any] | None = None
+        self.lost_at = 0.0
         self.tried = False
         self.hold: Hold | None = None
         self._failures = 0.0
@@ -160,6 +164,7 @@
         self.leaving = False
         self.store_ok = None
         self.status_number = -1
+        self.status = None
         self.order_revision = 0
         self.counts = ()
         self.tried = False
--- a/src/lycheestair/sidecar/replica.py
+++ b/src/lycheestair/sidecar/replica.py
@@ -1,6 +1,7 @@
 """The configuration in force at a node, and its exchange with others."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import Final
 
@@ -11,10 +12,13 @@
 from lycheestair.sidecar import journal
 from lycheestair.sidecar import links as links_lib
 from lycheestair.sidecar import members
+from lycheestair.sidecar import regions as regions_lib
 
 # A configuration that another node has is asked for after this time, unless it
 # arrives by itself.
 FETCH_AFTER_S: Final = 0.15
+# Another region is asked after this time by nodes that are no relays.
+FAR_FETCH_AFTER_S: Final = 0.8
 # Earlier configurations kept, to send changes instead of the whole.
 KEPT_CATALOGS: Final = 8
 
@@ -28,25 +32,25 @@
 
     def __init__(
         self,
-        region: ids.Region,
         table: members.MemberTable,
         links: Mapping[ids.NodeId, links_lib.PeerLink],
+        regions: regions_lib.RegionExchange,
         list_feeders: Callable[[], list[members.Member]],
         log: journal.Journal,
     ):
         """Initializes an empty replica.
 
         Args:
-          region: Region of the own node; nodes there are asked first.
           table: All known nodes.
           links: Links to the other nodes; read at each use.
+          regions: Tells which nodes are in the own region, and the relays.
           list_feeders: Returns the nodes that watch the store.
           log: Log of the node.
         """
         self.catalog = catalog_lib.EMPTY
-        self._region = region
         self._table = table
         self._links = links
+        self._regions = regions
         self._list_feeders = list_feeders
         self._log = log
         self._earlier: dict[ids.Generation, catalog_lib.Catalog] = {}
@@ -84,9 +88,21 @@
                 )
 
     def publish(self) -> None:
-        """Sends the configuration in force to members that may lack it."""
+        """Sends the configuration in force to all regions."""
+        self._publish(self._regions.list_links())
+        self.publish_near()
+
+    def publish_near(self) -> None:
+        """Sends the configuration in force to the own region."""
+        self._publish(
+            link
+            for link in self._links.values()
+            if self._regions.is_near(link.member)
+        )
+
+    def _publish(self, targets: Iterable[links_lib.PeerLink]) -> None:
         encoded: dict[ids.Generation, bytes] = {}
-        for link in self._links.values():
+        for link in targets:
             base = link.member.generation
             if base >= self.catalog.generation:
                 continue
@@ -139,6 +155,8 @@
         try:
             if self.take(catalog_lib.apply_change(old, document)):
                 self._tell_feeders()
+                if not self._regions.is_near(member):
+                    self.publish_near()
         except catalog_lib.CatalogError as error:
             self._log.write(
                 "configuration refused",
@@ -152,29 +170,39 @@
         """Asks a node for its configuration."""
         now = clock.read_s()
         link = self._links.get(member.record.node_id)
-        if link is not None and now - self._fetched_at > FETCH_AFTER_S:
+        if link is None or now - self._fetched_at <= FETCH_AFTER_S:
+            return
+        if link.send(
+            [
+                frames.FrameType.CONFIGURATION_WANTED,
+                self.catalog.generation,
+            ]
+        ):
             self._fetched_at = now
-            link.send(
-                [
-                    frames.FrameType.CONFIGURATION_WANTED,
-                    self.catalog.generation,
-                ]
-            )
+        else:
+            link.wake()
 
     def fetch_newer(self, now: float) -> None:
         """Asks for a configuration that another node has for a while."""
-        newest = max(
-            (m for m in self._table.list_others() if m.reachable),
-            key=lambda member: (
-                member.generation,
-                member.record.region == self._region,
-            ),
-            default=None,
-        )
-        if newest is None or newest.generation <= self.catalog.generation:
+        newer = [
+            member
+            for member in self._table.list_others()
+            if member.reachable and member.generation > self.catalog.generation
+        ]
+        if not newer:
             self._wanted_since = 0.0
-        elif not self._wanted_since:
-            self._wanted_since = now
-        elif now - self._wanted_since > FETCH_AFTER_S:
+            return
+        if not self._wanted_since:
             self._wanted_since = now
+        newest = max(
+            newer, key=lambda m: (self._regions.is_near(m), m.generation)
+        )
+        # A relay brings it to the region; the others ask there.
+        patience_s = (
+            FETCH_AFTER_S
+            if self._regions.is_near(newest)
+            or self._regions.find_rank() is not None
+            else FAR_FETCH_AFTER_S
+        )
+        if now - self._wanted_since > patience_s:
             self.fetch(newest)
--- a/src/lycheestair/sidecar/versions.py
+++ b/src/lycheestair/sidecar/versions.py
@@ -104,6 +104,14 @@
         order = self._orders.get(service)
         return order.rollout if order else None
 
+    @property
+    def in_rollout(self) -> bool:
+        """Whether a rollout is not decided yet."""
+        return any(
+            order.rollout.state not in rollout_lib.FINAL_STATES
+            for order in self._orders.values()
+        )
+
     def read_bad_reason(self, service: ids.ServiceName) -> str:
         """Returns why the new version counts as bad, empty if it does not."""
         order = self._orders.get(service)
