Take out the holds; tell nodes that start about their region

A relay greets a node of its own region with the records of the region: a node that restarts while the store is down knew the others only once they had connected to it (found by test_restarted_node_learns_from_peers_while_the_store_is_down, which failed).

--- a/src/lycheestair/sidecar/balancer.py
+++ b/src/lycheestair/sidecar/balancer.py
@@ -5,7 +5,6 @@
 
 from lycheestair import ids
 from lycheestair.sidecar import calls
-from lycheestair.sidecar import clock
 from lycheestair.sidecar import members
 from lycheestair.sidecar import settings as settings_lib
 from lycheestair.sidecar import versions as versions_lib
@@ -42,7 +41,6 @@
         self, call: calls.Call, excluded: set[ids.NodeId]
     ) -> members.Member | None:
         """Returns the member for the next attempt, None if none is left."""
-        now = clock.read_s()
         by_version: dict[ids.VersionName, list[members.Member]] = {}
         for member in self._table.list_serving(call.service):
             if (
@@ -68,10 +66,6 @@
                 member
                 for member in by_version[version]
                 if member.record.node_id not in excluded
-                and (
-                    member is self._table.own
-                    or not member.is_held(call.priority, now)
-                )
             ]
             if candidates and allowed[version] >= allowed[drawn]:
                 return self._choose_nearest(call, candidates)
@@ -93,20 +87,6 @@
         call.instance = member.endpoint.instance
         return member
 
-    def find_hold(self, call: calls.Call) -> calls.Refusal | None:
-        """Returns the latest refusal of a node that has no room for a call."""
-        now = clock.read_s()
-        holds = [
-            member.hold
-            for member in self._table.list_serving(call.service)
-            if member.hold is not None and member.is_held(call.priority, now)
-        ]
-        if not holds:
-            return None
-        return min(
-            (hold.refusal for hold in holds), key=lambda r: r.retry_after_s
-        )
-
     def _estimate_ms(self, member: members.Member, size: int) -> float:
         """Returns the expected time of a request at a member, and its cost."""
         endpoint = member.endpoint
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -309,8 +309,6 @@
         excluded: set[ids.NodeId] = set()
         while len(tried) < MAX_OFFERS:
             member = self._balancer.choose(call, excluded)
-            if member is None and not tried:
-                outcome = self._balancer.find_hold(call) or outcome
             if member is None or call.remaining_s <= 0:
                 break
             node_id = member.record.node_id
@@ -327,7 +325,6 @@
                 reached += 1
             elif latest.kind is errors.ErrorKind.OVERLOADED:
                 overloaded += 1
-                member.note_refusal(call.priority, latest)
             if overloaded >= MAX_OVERLOADED:
                 break
             if reached and (
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -214,7 +214,11 @@
     ) -> None:
         """Takes over what a relay reports of a node in its region."""
         member = self.add_record(record)
-        if member is None or member.record.incarnation > record.incarnation:
+        if (
+            member is None
+            or self.regions.is_near(member)
+            or member.record.incarnation > record.incarnation
+        ):
             return
         link = self._links.get(record.node_id)
         if status is None:
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -7,7 +7,6 @@
 
 from lycheestair import ids
 from lycheestair.sidecar import backend
-from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
 
 # Weight of the latest observation in the moving averages of failures.
@@ -15,11 +14,6 @@
 # The average of failures halves in this time, so that a backend server that
 # gets no requests because of it is tried again.
 FAILURE_HALF_LIFE_S: Final = 2.0
-# After a refusal for lack of room a node gets no calls that are as urgent or
-# less for this part of the time after which clients come back, and for this
-# long at most: shorter than its queue, so that its slots don't run empty.
-HOLD_SHARE: Final = 0.5
-MAX_HOLD_S: Final = 0.15
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,20 +68,6 @@
     state: backend.BackendState
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hold:
-    """A node has refused a call for lack of room.
-
-    Attributes:
-      priority: Of the call; calls as urgent or less would be refused too.
-      until: Steady time at which it may have room again.
-    """
-
-    priority: int
-    until: float
-    refusal: calls.Refusal
-
-
 @dataclasses.dataclass(slots=True)
 class Load:
     """Load of a backend server as its node sees it.
@@ -130,7 +110,6 @@
       status: Its latest status as it was sent, None before the first one.
       lost_at: Steady time at which a connection to it failed.
       tried: Whether it has been sent a request in this incarnation.
-      hold: Its last refusal for lack of room.
     """
 
     def __init__(self, record: NodeRecord):
@@ -151,7 +130,6 @@
         self.status: list[Any] | None = None
         self.lost_at = 0.0
         self.tried = False
-        self.hold: Hold | None = None
         self._failures = 0.0
         self._failures_at = 0.0
 
@@ -168,24 +146,8 @@
         self.order_revision = 0
         self.counts = ()
         self.tried = False
-        self.hold = None
         self._failures = 0.0
 
-    def note_refusal(self, priority: int, refusal: calls.Refusal) -> None:
-        """Keeps calls away for a moment, which would be refused too."""
-        now = clock.read_s()
-        if self.is_held(priority, now):
-            return
-        hold_s = min(MAX_HOLD_S, refusal.retry_after_s * HOLD_SHARE)
-        self.hold = Hold(priority, now + hold_s, refusal)
-
-    def is_held(self, priority: int, now: float) -> bool:
-        """Whether it would refuse a call of a priority for lack of room."""
-        hold = self.hold
-        return (
-            hold is not None and priority >= hold.priority and now < hold.until
-        )
-
     def report_load(
         self, running: int, waiting: int, service_ms: float
     ) -> None:
--- a/src/lycheestair/sidecar/regions.py
+++ b/src/lycheestair/sidecar/regions.py
@@ -47,8 +47,8 @@
           region: Region of the own node.
           table: All known nodes.
           links: Links to the other nodes; read at each use.
-          take: Takes over a record and the status of its node, None if its
-            relay does not reach it.
+          take: Takes over a record, and the status of its node if that is in
+            another region; the status is None if its relay can't reach it.
           encode_own: Returns the own status.
           log: Log of the node.
         """
@@ -150,7 +150,7 @@
         if self.is_near(link.member):
             for data in self._latest.values():
                 link.send([frames.FrameType.DIGEST, data])
-        elif link.wanted:
+        if link.wanted:
             link.send([frames.FrameType.DIGEST, self._encode()])
 
     def _encode(self) -> bytes:
@@ -179,9 +179,9 @@
         region = None
         for fields, status in frames.decompress(data):
             record = members.decode_record(fields)
+            self._take(record, status)
             if record.region != self._region:
                 region = record.region
-                self._take(record, status)
         if region is None:
             return
         self._heard_at[region] = clock.read_s()
