--- a/src/lycheestair/sidecar/budget.py
+++ b/src/lycheestair/sidecar/budget.py
@@ -1,5 +1,6 @@
 """Budget of repeats that all nodes share."""
 
+import math
 from typing import Final
 
 from lycheestair import ids
@@ -10,6 +11,9 @@
 # Part of the allowed repeats that is used. The rest is for nodes that get more
 # than an even part of the traffic, and for those that start again.
 USED_SHARE: Final = 0.85
+# What requests have earned is kept for this long, since failures come in
+# groups. It counts in two windows, so that less is earned.
+CARRY_S: Final = 2.0
 # Part of the slack that may be spent at once; the rest comes with time.
 BURST_SHARE: Final = 0.5
 # A repeated request is charged for the calls that its run makes, from what
@@ -36,6 +40,10 @@
         age_s = clock.read_s() - self._at
         return float(self._value * 0.5 ** (age_s / COUNT_HALF_LIFE_S))
 
+    def read_rate(self) -> float:
+        """Returns events per second."""
+        return self.read() * math.log(2) / COUNT_HALF_LIFE_S
+
 
 class RetryBudget:
     """Tokens earned by the requests for a service, spent by repeats.
@@ -49,7 +57,12 @@
 
     def __init__(self, bounds: settings_lib.Bounds, table: members.MemberTable):
         self.requests = _Count()
-        self._ratio = bounds.retry_ratio * USED_SHARE
+        self._ratio = (
+            bounds.retry_ratio
+            * USED_SHARE
+            * bounds.retry_window_s
+            / (bounds.retry_window_s + CARRY_S)
+        )
         self._slack = bounds.retry_slack * USED_SHARE
         self._window_s = bounds.retry_window_s
         self._table = table
@@ -63,7 +76,8 @@
 
     @property
     def _burst(self) -> float:
-        return max(1.0, self._even_slack * BURST_SHARE)
+        carried = self.requests.read_rate() * CARRY_S * self._ratio
+        return max(1.0, self._even_slack * BURST_SHARE + carried)
 
     def add_request(self) -> None:
         """Earns the share of one request."""
--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 import random
 from typing import Any
 from typing import Final
@@ -28,8 +29,13 @@
 PEERS_FIRST_S: Final = 0.4
 RETRY_MIN_S: Final = 0.2
 RETRY_MAX_S: Final = 1.5
-# A node that the store has refused asks again after this time.
-RECHECK_S: Final = 2.0
+# A node becomes a feeder if it has been due for this long: while the store is
+# down for all, the turn would else pass through the whole fleet at once.
+TAKEOVER_S: Final = 1.0
+# A node that the store has refused asks again after this time while no node
+# is served, if it is among the first ones; otherwise after the longer time.
+RECHECK_S: Final = 1.0
+SLOW_RECHECK_S: Final = 10.0
 POLL_S: Final = 0.1
 # The record of a node that nobody reaches is removed after this time.
 REMOVE_AFTER_S: Final = 20.0
@@ -60,6 +66,8 @@
         self._record_revisions: dict[str, int] = {}
         self._unreachable_since: dict[ids.NodeId, float] = {}
         self._active = False
+        self._due_since = math.inf
+        self._checked_at = 0.0
 
     async def run(self) -> None:
         """Joins, then feeds while it is this node's turn."""
@@ -100,7 +108,14 @@
     def _is_turn(self) -> bool:
         if self._gossip.leaving:
             return False
+        now = clock.read_s()
         turn = self._rank() is not None
+        if not turn:
+            self._due_since = math.inf
+        elif not self._active:
+            self._due_since = min(self._due_since, now)
+            if self._gossip.catalog.generation:
+                turn = now - self._due_since >= TAKEOVER_S
         if turn != self._active:
             self._active = turn
             self._log.write("feeder starts" if turn else "feeder ends")
@@ -189,12 +204,11 @@
             if not self._is_turn():
                 revision = 0
                 await asyncio.sleep(POLL_S)
-                # Seldom, so that a store that is back is noticed although no
-                # other node can reach it.
-                if self._gossip.store_ok is False:
-                    await asyncio.sleep(random.uniform(0.5, 1.0) * RECHECK_S)
-                    if kind == self._kinds.configuration:
-                        await self._recheck()
+                if (
+                    kind == self._kinds.configuration
+                    and self._gossip.store_ok is False
+                ):
+                    await self._recheck_due()
                 continue
             try:
                 if revision:
@@ -212,6 +226,16 @@
                 revision = 0
                 await asyncio.sleep(random.uniform(0.5, 1.0) * RETRY_MIN_S)
 
+    async def _recheck_due(self) -> None:
+        """Asks now and then whether the store serves this node again."""
+        interval_s = (
+            RECHECK_S if self._gossip.leads_unserved() else SLOW_RECHECK_S
+        )
+        now = clock.read_s()
+        if now - self._checked_at > random.uniform(0.5, 1.0) * interval_s:
+            self._checked_at = now
+            await self._recheck()
+
     async def _recheck(self) -> None:
         try:
             listing = await self._store.list(self._kinds.configuration)
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -1,6 +1,7 @@
 """Exchange of members, loads, configurations and rollouts between nodes."""
 
 import asyncio
+from collections.abc import Iterable
 import dataclasses
 from typing import Any
 from typing import Final
@@ -303,7 +304,7 @@
                 endpoint.slots,
                 endpoint.state.value,
             ],
-            self._server.admission.read_load(),
+            self._server.read_load(),
             self.catalog.generation,
             self.leaving,
             self.store_ok,
@@ -337,12 +338,24 @@
         own.store_ok = self.store_ok
         own.store_ms = self.store_ms
         own.leaving = self.leaving
+        return self._rank_for_store(
+            member for member in self._table if member.store_ok is not False
+        )
+
+    def leads_unserved(self) -> bool:
+        """Whether no node is served by the store and this one should ask."""
+        if self.list_feeders():
+            return False
+        return self._table.own in self._rank_for_store(self._table)
+
+    @staticmethod
+    def _rank_for_store(
+        candidates: Iterable[members.Member],
+    ) -> list[members.Member]:
         able = [
             member
-            for member in self._table
-            if member.reachable
-            and not member.leaving
-            and member.store_ok is not False
+            for member in candidates
+            if member.reachable and not member.leaving
         ]
         able.sort(
             key=lambda member: (
@@ -402,7 +415,7 @@
 
     def _tick(self, now: float) -> None:
         self._server.check_heartbeat()
-        self._table.own.report_load(*self._server.admission.read_load())
+        self._table.own.report_load(*self._server.read_load())
         for link in list(self._links.values()):
             link.check()
         if now - self._status_at >= STATUS_INTERVAL_S * max(
--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -25,9 +25,12 @@
 MIN_BACKOFF_S: Final = 0.1
 MAX_BACKOFF_S: Final = 1.0
 # A link that is silent for this long while calls wait is asked for a sign.
-PING_AFTER_S: Final = 0.3
+PING_AFTER_S: Final = 0.15
 # An idle link is asked less often, because each frame costs bytes.
 IDLE_PING_AFTER_S: Final = 1.5
+# Without an answer for this long other members are preferred: several round
+# trips between regions.
+SILENT_AFTER_S: Final = 0.15
 # Without an answer for this long the connection is replaced.
 SILENCE_LIMIT_S: Final = 0.8
 # A connection that was opened for calls alone is closed after this time
@@ -209,6 +212,7 @@
             stream.close()
             return
         if self._pinged_at > self._heard_at:
+            self.member.silent = now - self._pinged_at > SILENT_AFTER_S
             if now - self._pinged_at > SILENCE_LIMIT_S:
                 self._log.write(
                     "link silent",
@@ -304,6 +308,7 @@
         while True:
             frame = await frames.read(stream)
             self._heard_at = self.member.heard_at = clock.read_s()
+            self.member.silent = False
             self._handle(frame)
 
     def _handle(self, frame: frames.Frame) -> None:
@@ -327,6 +332,7 @@
         self._closing = False
 
     def _set_reachable(self, reachable: bool) -> None:
+        self.member.silent = False
         changed = self.member.reachable != reachable
         self.member.reachable = reachable
         if not changed and not reachable:
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -76,11 +76,13 @@
       running: Requests at the backend server.
       waiting: Requests in the queue of its node.
       service_ms: Time that a request takes at the backend server.
+      failed_percent: Part of its requests that failed lately.
     """
 
     running: int = 0
     waiting: int = 0
     service_ms: float = 0.0
+    failed_percent: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,6 +99,27 @@
     busy_ms: int
 
 
+class FailureShare:
+    """Share of failures among the latest outcomes; it fades with time."""
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._at = 0.0
+
+    def add(self, failed: bool) -> None:
+        """Counts an outcome."""
+        value = self.read()
+        self._at = clock.read_s()
+        self._value = value + FAILURE_WEIGHT * (failed - value)
+
+    def read(self) -> float:
+        """Returns the share."""
+        if not self._value:
+            return 0.0
+        age_s = clock.read_s() - self._at
+        return float(self._value * 0.5 ** (age_s / FAILURE_HALF_LIFE_S))
+
+
 class Member:
     """Another node, or the own one.
 
@@ -110,6 +133,7 @@
       status: Its latest status as it was sent, None before the first one.
       lost_at: Steady time at which a connection to it failed.
       tried: Whether it has been sent a request in this incarnation.
+      silent: Whether it owes a sign of life.
     """
 
     def __init__(self, record: NodeRecord):
@@ -130,8 +154,8 @@
         self.status: list[Any] | None = None
         self.lost_at = 0.0
         self.tried = False
-        self._failures = 0.0
-        self._failures_at = 0.0
+        self.silent = False
+        self._failures = FailureShare()
 
     def restart(self, record: NodeRecord) -> None:
         """Takes over a later incarnation; what was known of it is dropped."""
@@ -146,15 +170,20 @@
         self.order_revision = 0
         self.counts = ()
         self.tried = False
-        self._failures = 0.0
+        self._failures = FailureShare()
 
     def report_load(
-        self, running: int, waiting: int, service_ms: float
+        self,
+        running: int,
+        waiting: int,
+        service_ms: float,
+        failed_percent: float,
     ) -> None:
         """Takes over a load report."""
         self.load.running = running
         self.load.waiting = waiting
         self.load.service_ms = service_ms
+        self.load.failed_percent = failed_percent
         self.sent_at_report = self.sent
 
     @property
@@ -165,17 +194,15 @@
 
     def record_outcome(self, failed: bool) -> None:
         """Counts how a request to it ended."""
-        self._failures = self.failure_share
-        self._failures_at = clock.read_s()
-        self._failures += FAILURE_WEIGHT * (failed - self._failures)
+        self._failures.add(failed)
 
     @property
     def failure_share(self) -> float:
-        """Share of its requests that failed lately."""
-        if not self._failures:
-            return 0.0
-        age = clock.read_s() - self._failures_at
-        return float(self._failures * 0.5 ** (age / FAILURE_HALF_LIFE_S))
+        """Share of failures, as seen here or as its own node reports it.
+
+        Its own node sees all requests; the way to it is only seen here.
+        """
+        return max(self._failures.read(), self.load.failed_percent / 100)
 
 
 class MemberTable:
--- a/src/lycheestair/sidecar/peer_server.py
+++ b/src/lycheestair/sidecar/peer_server.py
@@ -191,7 +191,7 @@
         running.stream.write(
             frames.encode(
                 links.encode_outcome(
-                    running.number, self._server.admission.read_load(), outcome
+                    running.number, self._server.read_load(), outcome
                 )
             )
         )
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -72,6 +72,7 @@
         self._headers = headers
         self._budgets = budgets
         self._log = log
+        self._failures = members.FailureShare()
         self._latest: backend.Announcement | None = None
         self._heard_at = 0.0
         # Latest start in Unix milliseconds of incarnations that have left.
@@ -107,6 +108,7 @@
         if known is None or (known.instance, known.started_ms) != incarnation:
             self._close_idle()
             self.admission.reset_service_time()
+            self._failures = members.FailureShare()
         self._latest = report
         self._heard_at = clock.read_s()
         self._set_endpoint(
@@ -168,6 +170,13 @@
         while self._idle:
             self._idle.pop().stream.close()
 
+    def read_load(self) -> list[int]:
+        """Returns what `Member.report_load` takes."""
+        return [
+            *self.admission.read_load(),
+            int(self._failures.read() * 100),
+        ]
+
     # Calls.
 
     async def run(self, call: calls.Call) -> calls.Outcome:
@@ -213,9 +222,12 @@
         if isinstance(outcome, http1.Answer):
             failed = outcome.status >= FIRST_SERVER_ERROR
         elif outcome.not_run:
+            if outcome.reached:
+                self._failures.add(True)
             return
         else:
             failed = True
+        self._failures.add(failed)
         count = self.counts.setdefault(call.route, [0, 0, 0])
         count[0] += 1
         count[1] += failed
