--- a/src/lycheestair/sidecar/balancer.py
+++ b/src/lycheestair/sidecar/balancer.py
@@ -20,9 +20,6 @@
 FAILURE_COST_MS: Final = 800.0
 # A node that owes a sign of life is chosen last.
 SILENCE_COST_MS: Final = 1_000.0
-# From this share of failures of all backend servers of a service on, their
-# cause is common: a repeat would fail elsewhere too.
-COMMON_FAILURE_SHARE: Final = 0.2
 NEW_MEMBER_BONUS_MS: Final = 100.0
 # Loads within this are alike; one of them is chosen at random, so that all
 # nodes don't choose the same.
@@ -92,18 +89,6 @@
         call.instance = member.endpoint.instance
         return member
 
-    def has_common_fault(self, service: ids.ServiceName) -> bool:
-        """Whether the backend servers of a service fail all alike."""
-        shares = [
-            member.failure_share
-            for member in self._table.list_serving(service)
-            if member.reachable
-        ]
-        return (
-            len(shares) > 1
-            and sum(shares) / len(shares) >= COMMON_FAILURE_SHARE
-        )
-
     def _estimate_ms(self, member: members.Member, size: int) -> float:
         """Returns the expected time of a request at a member, and its cost."""
         endpoint = member.endpoint
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -321,10 +321,6 @@
             may_have_run |= ran
             if not _may_retry(call, latest):
                 break
-            if isinstance(
-                latest, http1.Answer
-            ) and self._balancer.has_common_fault(call.service):
-                break
             if isinstance(latest, http1.Answer) or latest.reached:
                 reached += 1
             elif latest.kind is errors.ErrorKind.OVERLOADED:
