--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -102,7 +102,8 @@
 class FailureShare:
     """Share of failures among the latest outcomes; it fades with time."""
 
-    def __init__(self) -> None:
+    def __init__(self, weight: float = FAILURE_WEIGHT):
+        self._weight = weight
         self._value = 0.0
         self._at = 0.0
 
@@ -110,7 +111,7 @@
         """Counts an outcome."""
         value = self.read()
         self._at = clock.read_s()
-        self._value = value + FAILURE_WEIGHT * (failed - value)
+        self._value = value + self._weight * (failed - value)
 
     def read(self) -> float:
         """Returns the share."""
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -34,6 +34,9 @@
 # the connection unnoticed, so that it only takes one that was used just now.
 MAX_IDLE_ONCE_S: Final = 0.5
 MAX_FOREIGN_ANSWERS: Final = 4
+# Weight of the latest outcome: this node sees all outcomes of its backend
+# server, and all others go by what it reports, so that it must not be noisy.
+OWN_FAILURE_WEIGHT: Final = 0.05
 MISDIRECTED: Final = 421
 FIRST_SERVER_ERROR: Final = 500
 # Sent to the backend server so that it stops before its node gives up.
@@ -72,7 +75,7 @@
         self._headers = headers
         self._budgets = budgets
         self._log = log
-        self._failures = members.FailureShare()
+        self._failures = members.FailureShare(OWN_FAILURE_WEIGHT)
         self._latest: backend.Announcement | None = None
         self._heard_at = 0.0
         # Latest start in Unix milliseconds of incarnations that have left.
@@ -108,7 +111,7 @@
         if known is None or (known.instance, known.started_ms) != incarnation:
             self._close_idle()
             self.admission.reset_service_time()
-            self._failures = members.FailureShare()
+            self._failures = members.FailureShare(OWN_FAILURE_WEIGHT)
         self._latest = report
         self._heard_at = clock.read_s()
         self._set_endpoint(
@@ -222,8 +225,6 @@
         if isinstance(outcome, http1.Answer):
             failed = outcome.status >= FIRST_SERVER_ERROR
         elif outcome.not_run:
-            if outcome.reached:
-                self._failures.add(True)
             return
         else:
             failed = True
