--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lycheestair import ids
+from lycheestair.sidecar import clock
 from lycheestair.sidecar import members
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import settings as settings_lib
@@ -70,6 +71,56 @@
     assert (shares.get("v2", 0) == 0) == bad
 
 
+def test_fault_of_a_dependency_is_not_blamed_on_the_new_version(monkeypatch):
+    """Guards a good version that has most requests when all versions fail."""
+    now = clock.read_s()
+    planner = make_planner(("v1", 0, 0, 0), ("v2", 0, 0, 0))
+    planner.take(make_rollout(), 0.0)
+    old, new = [member.counts[0] for member in planner._table.list_others()]
+    # Requests and failures of both in a second: first few at the new version,
+    # then most, and half of the requests fail wherever they are run.
+    for second in range(1, 9):
+        early = second < 5
+        monkeypatch.setattr(clock, "read_s", lambda at=now + second: at)
+        old = add_outcomes(old, *((190, 2) if early else (20, 11)))
+        new = add_outcomes(new, *((14, 0) if early else (184, 101)))
+        for member, count in zip(
+            planner._table.list_others(), (old, new), strict=True
+        ):
+            member.counts = (count,)
+        assert not planner.judge(), planner.read_bad_reason(SERVICE)
+
+
+def test_version_that_turns_bad_late_is_found(monkeypatch):
+    """Guards against evidence that is diluted by the time before."""
+    now = clock.read_s()
+    planner = make_planner(("v1", 0, 0, 0), ("v2", 0, 0, 0))
+    planner.take(make_rollout(), 0.0)
+    old, new = [member.counts[0] for member in planner._table.list_others()]
+    found_at = None
+    for second in range(1, 9):
+        monkeypatch.setattr(clock, "read_s", lambda at=now + second: at)
+        old = add_outcomes(old, *((190, 2) if second < 5 else (20, 0)))
+        new = add_outcomes(new, *((14, 0) if second < 5 else (184, 80)))
+        for member, count in zip(
+            planner._table.list_others(), (old, new), strict=True
+        ):
+            member.counts = (count,)
+        if planner.judge():
+            found_at = second
+            break
+    assert found_at == 5
+
+
+def add_outcomes(count, answers, failures):
+    return members.RouteCount(
+        ROUTE,
+        count.answers + answers,
+        count.failures + failures,
+        count.busy_ms + 100 * answers,
+    )
+
+
 @pytest.mark.parametrize(
     ("age_s", "state", "share"),
     [
