--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -2,12 +2,10 @@
 
 import asyncio
 from collections.abc import Iterable
-import dataclasses
 from typing import Any
 from typing import Final
 
 from lycheestair import ids
-from lycheestair.sidecar import backend
 from lycheestair.sidecar import catalog as catalog_lib
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import frames
@@ -19,6 +17,7 @@
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import serving
 from lycheestair.sidecar import settings as settings_lib
+from lycheestair.sidecar import statuses
 from lycheestair.sidecar import versions as versions_lib
 
 TICK_S: Final = 0.1
@@ -72,9 +71,8 @@
         self.replica = replica_lib.CatalogReplica(
             table, self._links, self.regions, self.list_feeders, log
         )
-        self._status_number = 0
+        self._status = statuses.OwnStatus(table.own, server, planner)
         self._status_at = 0.0
-        self._counted_revision = 0
 
     @property
     def catalog(self) -> catalog_lib.Catalog:
@@ -229,89 +227,25 @@
             member.reachable = True
 
     def _take_status(self, member: members.Member, fields: list[Any]) -> None:
-        (
-            number,
-            endpoint,
-            load,
-            generation,
-            leaving,
-            store_ok,
-            store_ms,
-            order_revision,
-            counts,
-        ) = fields
-        if number <= member.status_number:
+        if not statuses.take(member, fields):
             return
-        member.status_number = number
-        member.status = fields
-        member.leaving = leaving
-        member.store_ok = store_ok
-        member.store_ms = store_ms
-        member.generation = ids.Generation(generation)
-        member.report_load(*load)
-        if counts is not None:
-            member.order_revision = order_revision
-            member.counts = tuple(
-                members.RouteCount(*count) for count in counts
-            )
-        decoded = None
-        if endpoint is not None:
-            instance, service, version, slots, state = endpoint
-            decoded = members.Endpoint(
-                instance, service, version, slots, backend.BackendState(state)
-            )
-        if decoded != member.endpoint:
-            self._log.write(
-                "endpoint changed",
-                peer=member.record.node_id,
-                instance=decoded.instance if decoded else None,
-                version=decoded.version if decoded else None,
-                state=decoded.state.value if decoded else "gone",
-            )
-            member.endpoint = decoded
-            self._table.index()
+        endpoint = member.endpoint
+        self._log.write(
+            "endpoint changed",
+            peer=member.record.node_id,
+            instance=endpoint.instance if endpoint else None,
+            version=endpoint.version if endpoint else None,
+            state=endpoint.state.value if endpoint else "gone",
+        )
+        self._table.index()
 
     def _encode_status(self) -> list[Any]:
-        self._status_number += 1
-        endpoint = self._server.endpoint
-        revision = 0
-        counts = None
-        if endpoint is not None:
-            order = self._planner.find_order(endpoint.service)
-            if order is not None:
-                if self._counted_revision != order.created:
-                    self._counted_revision = order.created
-                    self._server.counts.clear()
-                if order.state not in rollout_lib.FINAL_STATES:
-                    revision = order.created
-                    own = self._table.own
-                    own.order_revision = revision
-                    own.counts = tuple(
-                        members.RouteCount(route, *count)
-                        for route, count in self._server.counts.items()
-                    )
-                    counts = [
-                        dataclasses.astuple(count) for count in own.counts
-                    ]
-        return [
-            self._status_number,
-            None
-            if endpoint is None
-            else [
-                endpoint.instance,
-                endpoint.service,
-                endpoint.version,
-                endpoint.slots,
-                endpoint.state.value,
-            ],
-            self._server.read_load(),
-            self.catalog.generation,
-            self.leaving,
-            self.store_ok,
-            self.store_ms,
-            revision,
-            counts,
-        ]
+        own = self._table.own
+        own.generation = self.catalog.generation
+        own.leaving = self.leaving
+        own.store_ok = self.store_ok
+        own.store_ms = self.store_ms
+        return self._status.encode()
 
     def publish_status(self) -> None:
         """Sends the own status to the members of the region at once."""
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -1,9 +1,7 @@
 """The serving node: the only way to the backend server beside it."""
 
 import asyncio
-import collections
 from collections.abc import Callable
-import math
 import time
 from typing import Final
 
@@ -18,21 +16,12 @@
 from lycheestair.sidecar import http1
 from lycheestair.sidecar import journal
 from lycheestair.sidecar import members
+from lycheestair.sidecar import pool
 from lycheestair.sidecar import settings as settings_lib
 from lycheestair.sidecar import streams
 
-# The backend server is on the same machine: a connection is made at once or
-# not at all.
-CONNECT_TIMEOUT_S: Final = 0.3
 # Heartbeats that may be missing before the backend server counts as gone.
 MISSED_HEARTBEATS: Final = 4
-# An idle connection is used for this part of the time that the backend server
-# states, and for DEFAULT_IDLE_S if it states none.
-IDLE_SHARE: Final = 0.7
-DEFAULT_IDLE_S: Final = 0.3
-# A request that must not run twice is lost if the backend server has dropped
-# the connection unnoticed, so that it only takes one that was used just now.
-MAX_IDLE_ONCE_S: Final = 0.5
 MAX_FOREIGN_ANSWERS: Final = 4
 # Weight of the latest outcome: this node sees all outcomes of its backend
 # server, and all others go by what it reports, so that it must not be noisy.
@@ -43,15 +32,6 @@
 MIN_DEADLINE_MS: Final = 1
 
 
-class _Connection:
-    """Kept connection to the backend server."""
-
-    def __init__(self, stream: streams.Stream):
-        self.stream = stream
-        self.idle_since = 0.0
-        self.max_idle_s = DEFAULT_IDLE_S
-
-
 class ServingNode:
     """Admits calls and runs them on the own backend server.
 
@@ -80,7 +60,7 @@
         self._heard_at = 0.0
         # Latest start in Unix milliseconds of incarnations that have left.
         self._left: dict[str, int] = {}
-        self._idle: collections.deque[_Connection] = collections.deque()
+        self._pool = pool.ConnectionPool(settings.server_address)
 
     # Announcements.
 
@@ -109,7 +89,7 @@
             # It was delayed on its way, behind the deregistration.
             return True
         if known is None or (known.instance, known.started_ms) != incarnation:
-            self._close_idle()
+            self._pool.close_idle()
             self.admission.reset_service_time()
             self._failures = members.FailureShare(OWN_FAILURE_WEIGHT)
         self._latest = report
@@ -157,7 +137,7 @@
             endpoint.slots if serving and endpoint is not None else 0
         )
         if not serving:
-            self._close_idle()
+            self._pool.close_idle()
         self.changed()
 
     def check_heartbeat(self) -> None:
@@ -169,10 +149,6 @@
         ):
             self._set_endpoint(None, "no heartbeat")
 
-    def _close_idle(self) -> None:
-        while self._idle:
-            self._idle.pop().stream.close()
-
     def read_load(self) -> list[int]:
         """Returns what `Member.report_load` takes."""
         return [
@@ -240,7 +216,7 @@
         if endpoint is not self.endpoint:
             return calls.Refusal(errors.ErrorKind.DRAINING)
         try:
-            connection = await self._check_out(call.idempotent)
+            connection = await self._pool.check_out(call.idempotent)
         except OSError as error:
             # Nothing listens: calls go elsewhere until the next heartbeat.
             if isinstance(error, ConnectionRefusedError):
@@ -248,7 +224,7 @@
             return calls.Refusal(errors.ErrorKind.CONNECT_FAILED, repr(error))
         remaining_ms = int(call.remaining_s * 1000)
         if remaining_ms < MIN_DEADLINE_MS:
-            self._check_in(connection)
+            self._keep(connection)
             return calls.Refusal(errors.ErrorKind.DEADLINE_TOO_SHORT)
         keep = False
         try:
@@ -256,7 +232,7 @@
             async with asyncio.timeout(call.remaining_s):
                 answer = await self._read_answer(connection.stream, call)
             keep = answer.keep and not connection.stream.unsent
-            connection.max_idle_s = _read_max_idle_s(answer)
+            connection.note_answer(answer)
             return self._judge(answer, endpoint)
         except TimeoutError:
             return calls.Refusal(errors.ErrorKind.TIMEOUT, reached=True)
@@ -278,10 +254,16 @@
             # Every path but a whole answer leaves the connection in a state
             # in which a late answer could be taken for the next one.
             if keep:
-                self._check_in(connection)
+                self._keep(connection)
             else:
                 connection.stream.abort()
 
+    def _keep(self, connection: pool.Connection) -> None:
+        if self.endpoint is None:
+            connection.stream.close()
+        else:
+            self._pool.check_in(connection)
+
     async def _read_answer(
         self, stream: streams.Stream, call: calls.Call
     ) -> http1.Answer:
@@ -344,33 +326,6 @@
             call.method, call.target, headers, call.body
         )
 
-    async def _check_out(self, idempotent: bool) -> _Connection:
-        now = clock.read_s()
-        limit_s = math.inf if idempotent else MAX_IDLE_ONCE_S
-        while self._idle:
-            connection = self._idle.pop()
-            stream = connection.stream
-            if (
-                now - connection.idle_since
-                < min(connection.max_idle_s, limit_s)
-                and not stream.ended
-                and not stream.buffered
-            ):
-                return connection
-            stream.close()
-        return _Connection(
-            await streams.connect(
-                self._settings.server_address, CONNECT_TIMEOUT_S
-            )
-        )
-
-    def _check_in(self, connection: _Connection) -> None:
-        connection.idle_since = clock.read_s()
-        if self.endpoint is None:
-            connection.stream.close()
-        else:
-            self._idle.append(connection)
-
 
 def _continues(
     known: backend.Announcement, report: backend.Announcement
@@ -386,17 +341,6 @@
     return report.sequence > known.sequence
 
 
-def _read_max_idle_s(answer: http1.Answer) -> float:
-    header = answer.find(b"keep-alive")
-    if header is None:
-        return DEFAULT_IDLE_S
-    for part in header.split(b","):
-        name, _, value = part.strip().partition(b"=")
-        if name == b"timeout" and value.isdigit():
-            return int(value) * IDLE_SHARE
-    return DEFAULT_IDLE_S
-
-
 def read_unix_ms() -> int:
     """Returns the Unix time in milliseconds."""
     return int(time.time() * 1000)
--- /dev/null
+++ b/src/lycheestair/sidecar/statuses.py
@@ -0,0 +1,118 @@
+"""The status that a node tells the others, as a list of plain values."""
+
+import dataclasses
+from typing import Any
+
+from lycheestair import ids
+from lycheestair.sidecar import backend
+from lycheestair.sidecar import members
+from lycheestair.sidecar import rollout as rollout_lib
+from lycheestair.sidecar import serving
+from lycheestair.sidecar import versions as versions_lib
+
+
+class OwnStatus:
+    """Encodes the status of the own node; each has a higher number."""
+
+    def __init__(
+        self,
+        own: members.Member,
+        server: serving.ServingNode,
+        planner: versions_lib.VersionPlanner,
+    ):
+        self._own = own
+        self._server = server
+        self._planner = planner
+        self._number = 0
+        self._counted_revision = 0
+
+    def encode(self) -> list[Any]:
+        """Returns the status as it is now."""
+        self._number += 1
+        own = self._own
+        endpoint = self._server.endpoint
+        counted = self._count_outcomes(endpoint)
+        return [
+            self._number,
+            None
+            if endpoint is None
+            else [
+                endpoint.instance,
+                endpoint.service,
+                endpoint.version,
+                endpoint.slots,
+                endpoint.state.value,
+            ],
+            self._server.read_load(),
+            own.generation,
+            own.leaving,
+            own.store_ok,
+            own.store_ms,
+            own.order_revision if counted else 0,
+            [dataclasses.astuple(count) for count in own.counts]
+            if counted
+            else None,
+        ]
+
+    def _count_outcomes(self, endpoint: members.Endpoint | None) -> bool:
+        """Whether a rollout of the own service is in progress.
+
+        Its outcomes are counted from its order on.
+        """
+        if endpoint is None:
+            return False
+        order = self._planner.find_order(endpoint.service)
+        if order is None:
+            return False
+        if self._counted_revision != order.created:
+            self._counted_revision = order.created
+            self._server.counts.clear()
+        if order.state in rollout_lib.FINAL_STATES:
+            return False
+        self._own.order_revision = order.created
+        self._own.counts = tuple(
+            members.RouteCount(route, *count)
+            for route, count in self._server.counts.items()
+        )
+        return True
+
+
+def take(member: members.Member, fields: list[Any]) -> bool:
+    """Takes over a status of a member unless a later one is known.
+
+    Returns:
+      Whether its backend server has changed.
+    """
+    (
+        number,
+        endpoint,
+        load,
+        generation,
+        leaving,
+        store_ok,
+        store_ms,
+        order_revision,
+        counts,
+    ) = fields
+    if number <= member.status_number:
+        return False
+    member.status_number = number
+    member.status = fields
+    member.leaving = leaving
+    member.store_ok = store_ok
+    member.store_ms = store_ms
+    member.generation = ids.Generation(generation)
+    member.report_load(*load)
+    if counts is not None:
+        member.order_revision = order_revision
+        member.counts = tuple(members.RouteCount(*count) for count in counts)
+    decoded = None
+    if endpoint is not None:
+        instance, service, version, slots, state = endpoint
+        decoded = members.Endpoint(
+            instance, service, version, slots, backend.BackendState(state)
+        )
+    if decoded == member.endpoint:
+        return False
+    member.endpoint = decoded
+    return True
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -70,8 +70,9 @@
         await self.start_node()
         await self.worker.announce()
 
-    async def start_node(self):
-        text = SETTINGS.format(
+    def write_settings(self, store):
+        """Returns the text of the node's settings file."""
+        return SETTINGS.format(
             name=self.name,
             zone=self.zone,
             region="north" if self.zone == "a1" else "south",
@@ -81,8 +82,11 @@
             ready=self.ready,
             control=self.control,
             host=self.host,
-            store=self.world.store.address,
+            store=store,
         )
+
+    async def start_node(self):
+        text = self.write_settings(self.world.store.address)
         self.node = node_lib.SidecarNode(
             settings_lib.decode(text), program.Platform()
         )
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -104,16 +104,12 @@
         stream.write(data)
 
 
-class Machine:
+class Machine(platform_world.Machine):
     """A node process and the backend server beside it."""
 
     def __init__(self, soak, name, service, zone):
+        super().__init__(soak, name, service, zone=zone)
         self.soak = soak
-        self.name, self.service, self.zone = name, service, zone
-        self.host = platform_world.take_host()
-        self.outbound = f"{self.host}:8141"
-        self.ready = f"{self.host}:8140"
-        self.control = f"{self.host}:8146"
         self.link = relay.Link(soak.store.address, 0.0)
         self.settings = soak.folder / f"{name}.conf"
         self.log = (soak.folder / f"{name}.log").open("ab")
@@ -126,20 +122,7 @@
         )
 
     def start_process(self):
-        self.settings.write_text(
-            platform_world.SETTINGS.format(
-                name=self.name,
-                zone=self.zone,
-                region="north" if self.zone == "a1" else "south",
-                application=self.worker.address,
-                service=self.service,
-                outbound=self.outbound,
-                ready=self.ready,
-                control=self.control,
-                host=self.host,
-                store=self.link.address,
-            )
-        )
+        self.settings.write_text(self.write_settings(self.link.address))
         self.ending = False
         self.process = subprocess.Popen(
             [sys.executable, "-m", "lycheestair.platform"],
