Bear a SIGHUP while a node starts

Also in the soak's link: a link that was healed while it accepted a connection no longer stops accepting.

Ruled out: an error in the node (nothing in its log; exit status -1).

The test of the start failed before.

--- a/src/lycheestair_standins/relay.py
+++ b/src/lycheestair_standins/relay.py
@@ -65,8 +65,10 @@
             with self._lock:
                 self._sockets |= {near, far}
             for source, sink in ((near, far), (far, near)):
-                source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                self._start_direction(source, sink)
+                # A healed link has closed them meanwhile; it goes on accepting.
+                with contextlib.suppress(OSError):
+                    source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    self._start_direction(source, sink)
 
     def _start_direction(
         self, source: socket.socket, sink: socket.socket
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -58,14 +58,15 @@
     assert adapter < 800
 
 
-def test_node_goes_without_libssl():
-    """Guards memory: asyncio loads libssl wherever it can be imported."""
+def test_node_goes_without_libssl_and_bears_an_early_sighup():
+    """Guards memory, and a process that is told of settings as it starts."""
     code = (
-        "import runpy, sys\n"
+        "import runpy, signal, sys\n"
         "try:\n"
         "    runpy.run_module('lycheestair.platform', run_name='__main__')\n"
         "except BaseException as error:\n"
-        "    print(type(error).__name__, '_ssl' in sys.modules)\n"
+        "    print(type(error).__name__, '_ssl' in sys.modules,\n"
+        "        signal.getsignal(signal.SIGHUP).name)\n"
     )
     ended = subprocess.run(
         [sys.executable, "-c", code],
@@ -75,7 +76,7 @@
         check=True,
     )
     # It gets as far as its settings, which are not there.
-    assert "FileNotFoundError False" in ended.stdout, ended
+    assert "FileNotFoundError False SIG_IGN" in ended.stdout, ended
 
 
 def test_settings_are_decoded_and_unknown_fields_ignored():
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -3,9 +3,9 @@
 import pytest
 import soak
 
-SECONDS = 5.0
-# Seed and what failed; none so far (tests/soak.py, seeds 1 to 50).
-REGRESSIONS = ()
+SECONDS = 8.0
+# Seeds that have failed: 4 and 11, SIGHUP ended a process that was starting.
+REGRESSIONS = (4, 11)
 
 
 @pytest.mark.parametrize("seed", [1, *REGRESSIONS])
