Don't blame a version for the failures of calls

Change: the serving node matches failed calls with the request they were for by its deadline and doesn't count that failure, neither for the version nor for the backend server.

--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -1,7 +1,6 @@
 """The entry node: from a client's request to its one answer."""
 
 import asyncio
-import contextlib
 import random
 from typing import Final
 
@@ -199,6 +198,7 @@
         route = None
         tried: list[str] = []
         outcome: calls.Outcome
+        wait_s = self._read_wait_s(request)
         if not catalog.generation or self.closing:
             outcome = calls.Refusal(errors.ErrorKind.NOT_READY)
         else:
@@ -206,8 +206,12 @@
             if route is None:
                 outcome = calls.Refusal(errors.ErrorKind.NO_ROUTE)
             else:
-                call = self._start_call(request, request_id, route, arrived)
+                call = self._start_call(
+                    request, request_id, route, arrived, wait_s
+                )
                 outcome = await self._run(call, route, tried)
+        if wait_s is not None and _is_failure(outcome):
+            self._server.failed_calls.add(arrived + wait_s)
         self._log_outcome(request_id, catalog, route, outcome, arrived, tried)
         if isinstance(outcome, http1.Answer):
             return http1.Answer(
@@ -257,17 +261,25 @@
             **fields,
         )
 
+    def _read_wait_s(self, request: http1.Request) -> float | None:
+        """Returns how long the client waits, None if it does not say."""
+        try:
+            return int(request.find(self._headers.deadline_ms) or b"") / 1000
+        except ValueError:
+            return None
+
     def _start_call(
         self,
         request: http1.Request,
         request_id: bytes,
         route: catalog_lib.Route,
         arrived: float,
+        wait_s: float | None,
     ) -> calls.Call:
-        wait_s = full_s = DEFAULT_DEADLINE_S
-        with contextlib.suppress(ValueError):
-            # A missing or malformed value leaves the route's own limit.
-            wait_s = int(request.find(self._headers.deadline_ms) or b"") / 1000
+        if wait_s is None:
+            # Leaves the route's own limit.
+            wait_s = full_s = DEFAULT_DEADLINE_S
+        else:
             full_s = max(wait_s, self._full_wait_s.get(route.name, 0.0))
             self._full_wait_s[route.name] = full_s
         return calls.Call(
@@ -363,6 +375,13 @@
         return outcome
 
 
+def _is_failure(outcome: calls.Outcome) -> bool:
+    return (
+        not isinstance(outcome, http1.Answer)
+        or outcome.status >= FIRST_SERVER_ERROR
+    )
+
+
 def _may_retry(call: calls.Call, outcome: calls.Outcome) -> bool:
     """Whether another backend server may be sent the request."""
     if isinstance(outcome, http1.Answer):
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -13,6 +13,7 @@
 from lycheestair.sidecar import budget
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import dependencies
 from lycheestair.sidecar import http1
 from lycheestair.sidecar import journal
 from lycheestair.sidecar import members
@@ -38,6 +39,8 @@
     Attributes:
       endpoint: The backend server as announced, None when it is not known.
       changed: Called after the endpoint has changed.
+      counts: Answers, failures and time in ms of each route.
+      failed_calls: Calls of the backend server that failed.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         self.endpoint: members.Endpoint | None = None
         self.changed: Callable[[], None] = lambda: None
         self.counts: dict[ids.RouteName, list[int]] = {}
+        self.failed_calls = dependencies.FailedCalls()
         self._settings = settings
         self._headers = headers
         self._budgets = budgets
@@ -204,6 +208,13 @@
             return
         else:
             failed = True
+        if failed and self.failed_calls.explain(call.deadline):
+            self._log.write(
+                "failure not counted",
+                id=call.request_id.decode("latin-1"),
+                reason="a call of the backend server failed",
+            )
+            return
         self._failures.add(failed)
         count = self.counts.setdefault(call.route, [0, 0, 0])
         count[0] += 1
--- a/src/lycheestair/sidecar/versions.py
+++ b/src/lycheestair/sidecar/versions.py
@@ -6,6 +6,7 @@
 
 from lycheestair import ids
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import evidence as evidence_lib
 from lycheestair.sidecar import members
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import settings as settings_lib
@@ -19,23 +20,14 @@
     (0.48, 2.0),
     (0.58, 4.5),
 )
-FULL_SHARE_AT: Final = 0.66
+# Nearly all, so that the others still show what is not the new version's fault.
+LAST_SHARE_AT: Final = 0.66
+LAST_SHARE: Final = 0.9
 COMPLETE_AT: Final = 0.8
 # The old backend servers are stopped at the end, so that their requests need
 # this time after the full share; the order's own time goes before it.
 MIN_FULL_SHARE_S: Final = 1.0
 LATEST_COMPLETE_AT: Final = 0.95
-# Failures that are enough to judge a version, and how many more than the
-# others it may have.
-MIN_FAILURES: Final = 4
-MIN_FAILURE_SHARE: Final = 0.12
-FAILURE_FACTOR: Final = 2.5
-# Answers that are enough to judge its latency on a route, and the factor
-# against the others that counts as slow. Backend servers of one version differ
-# by less than three times.
-MIN_SLOW_ANSWERS: Final = 8
-SLOW_FACTOR: Final = 3.0
-MIN_SLOW_MS: Final = 100.0
 # A version that nobody has ordered gets no requests for this long, while
 # others serve: the order may still be on its way.
 UNKNOWN_VERSION_S: Final = 3.0
@@ -46,6 +38,9 @@
     rollout: rollout_lib.Rollout
     learned_at: float
     bad: str = ""
+    evidence: evidence_lib.Evidence = dataclasses.field(
+        default_factory=evidence_lib.Evidence
+    )
 
 
 class VersionPlanner:
@@ -146,9 +141,12 @@
         if state is rollout_lib.RolloutState.ROLLED_BACK or order.bad:
             return 0.0
         elapsed = clock.read_s() - order.learned_at
-        part = elapsed / max(0.1, order.rollout.duration_s)
-        if part >= FULL_SHARE_AT:
+        duration_s = max(0.1, order.rollout.duration_s)
+        if elapsed >= find_end_s(duration_s) - MIN_FULL_SHARE_S:
             return 1.0
+        part = elapsed / duration_s
+        if part >= LAST_SHARE_AT:
+            return LAST_SHARE
         multiple = max(m for start, m in SCHEDULE if part >= start)
         return min(1.0, multiple * self._exposure_share)
 
@@ -185,49 +183,30 @@
         for order in self._orders.values():
             if order.bad or order.rollout.state in rollout_lib.FINAL_STATES:
                 continue
-            order.bad = self._find_fault(order.rollout)
+            order.bad = self._find_fault(order)
             if order.bad:
                 found.append(order.rollout)
         return found
 
-    def _find_fault(self, rollout: rollout_lib.Rollout) -> str:
-        new: dict[ids.RouteName, list[int]] = {}
-        old: dict[ids.RouteName, list[int]] = {}
+    def _find_fault(self, order: _Order) -> str:
+        rollout = order.rollout
+        new: dict[ids.RouteName, evidence_lib.Sums] = {}
+        others: dict[ids.RouteName, evidence_lib.Sums] = {}
         for member in self._table:
             endpoint = member.endpoint
             if endpoint is None or endpoint.service != rollout.service:
                 continue
             if member.order_revision < rollout.created:
                 continue
-            side = new if endpoint.version == rollout.target else old
+            side = new if endpoint.version == rollout.target else others
             for count in member.counts:
-                total = side.setdefault(count.route, [0, 0, 0])
-                total[0] += count.answers
-                total[1] += count.failures
-                total[2] += count.busy_ms
-        for route, (answers, failures, busy_ms) in new.items():
-            base = old.get(route, [0, 0, 0])
-            base_share = base[1] / base[0] if base[0] else 0.0
-            limit = max(MIN_FAILURE_SHARE, FAILURE_FACTOR * base_share)
-            if failures >= MIN_FAILURES and failures > answers * limit:
-                return (
-                    f"{failures} of {answers} failed on {route},"
-                    f" {base[1]} of {base[0]} at the other versions"
-                )
-            if answers < MIN_SLOW_ANSWERS or base[0] < MIN_SLOW_ANSWERS:
-                continue
-            mean, base_mean = busy_ms / answers, base[2] / base[0]
-            if mean > max(MIN_SLOW_MS, SLOW_FACTOR * base_mean):
-                return (
-                    f"{mean:.0f} ms on {route}, {base_mean:.0f} ms at the"
-                    f" other versions"
-                )
-        return ""
+                side.setdefault(count.route, evidence_lib.Sums()).add(count)
+        return order.evidence.find_fault(new, others)
 
 
 def find_end_s(duration_s: float) -> float:
     """Returns when a good version's rollout ends, in seconds from its order."""
     wanted_s = max(
-        duration_s * COMPLETE_AT, duration_s * FULL_SHARE_AT + MIN_FULL_SHARE_S
+        duration_s * COMPLETE_AT, duration_s * LAST_SHARE_AT + MIN_FULL_SHARE_S
     )
     return min(wanted_s, duration_s * LATEST_COMPLETE_AT)
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -91,6 +91,39 @@
         assert not planner.judge(), planner.read_bad_reason(SERVICE)
 
 
+@pytest.mark.parametrize("lacks_call", [True, False])
+def test_failure_for_lack_of_a_call_is_not_counted(lacks_call):
+    """Guards a version that fails because a service it calls does."""
+
+    async def scenario():
+        machines = (("n1", "desk"), ("n2", "press"))
+        async with platform_world.run(*machines) as world:
+            desk, press = world.machines
+            press.worker.status = 500
+
+            async def fail(request, stream):
+                if lacks_call:
+                    remaining_ms = int(request.find(b"x-deadline-ms"))
+                    await asyncio.sleep(0.05)
+                    answer = await desk.request(
+                        "/press/1", b"POST", deadline_ms=remaining_ms - 50
+                    )
+                    assert answer.status == 500
+                stream.write(desk.worker.encode(request))
+
+            desk.worker.misbehave = fail
+            desk.worker.status = 500
+            for number in range(4):
+                answer = await desk.request(deadline_ms=2000 + 200 * number)
+                assert answer.status == 500
+            answers, failures, _ = desk.node._server.counts.get(
+                "view", [0, 0, 0]
+            )
+            assert (answers, failures) == ((0, 0) if lacks_call else (4, 4))
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
 def test_version_that_turns_bad_late_is_found(monkeypatch):
     """Guards against evidence that is diluted by the time before."""
     now = clock.read_s()
