Tell failures for lack of a call by time and source

Change: a failed call is one on a connection from the own machine; a failure within 50 ms after it is not counted. The lag between both was 1 ms in the median and 46 ms at the ninetieth percentile of 1365. Requests that a backend server turns away count for the choice between backend servers, as only its own node sees all of them.

--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -1,6 +1,7 @@
 """The entry node: from a client's request to its one answer."""
 
 import asyncio
+import contextlib
 import random
 from typing import Final
 
@@ -24,6 +25,7 @@
 from lycheestair.sidecar import streams
 from lycheestair.sidecar import versions as versions_lib
 
+FIRST_ERROR: Final = 400
 FIRST_SERVER_ERROR: Final = 500
 # Serving nodes that are asked for one request; a refusal by a node costs no
 # work, but the request waits meanwhile.
@@ -65,6 +67,8 @@
         self.in_progress = 0
         self.closing = False
         self._settings = settings
+        # Connections from the own machine are the backend server's.
+        self._host = streams.split_address(settings.server_address)[0]
         self._headers = headers
         # Set anew for the backend server.
         self._own_headers = frozenset(
@@ -133,6 +137,8 @@
             answer = await self._answer_while_connected(stream, request)
             if answer is None:
                 return False
+            if answer.status >= FIRST_ERROR and stream.peer_host == self._host:
+                self._server.failed_calls.add()
             keep = request.keep and not self._gossip.leaving
             stream.write(http1.encode_answer(answer, request.method, keep))
             await stream.drain()
@@ -198,7 +204,6 @@
         route = None
         tried: list[str] = []
         outcome: calls.Outcome
-        wait_s = self._read_wait_s(request)
         if not catalog.generation or self.closing:
             outcome = calls.Refusal(errors.ErrorKind.NOT_READY)
         else:
@@ -206,12 +211,8 @@
             if route is None:
                 outcome = calls.Refusal(errors.ErrorKind.NO_ROUTE)
             else:
-                call = self._start_call(
-                    request, request_id, route, arrived, wait_s
-                )
+                call = self._start_call(request, request_id, route, arrived)
                 outcome = await self._run(call, route, tried)
-        if wait_s is not None and _is_failure(outcome):
-            self._server.failed_calls.add(arrived + wait_s)
         self._log_outcome(request_id, catalog, route, outcome, arrived, tried)
         if isinstance(outcome, http1.Answer):
             return http1.Answer(
@@ -261,25 +262,17 @@
             **fields,
         )
 
-    def _read_wait_s(self, request: http1.Request) -> float | None:
-        """Returns how long the client waits, None if it does not say."""
-        try:
-            return int(request.find(self._headers.deadline_ms) or b"") / 1000
-        except ValueError:
-            return None
-
     def _start_call(
         self,
         request: http1.Request,
         request_id: bytes,
         route: catalog_lib.Route,
         arrived: float,
-        wait_s: float | None,
     ) -> calls.Call:
-        if wait_s is None:
-            # Leaves the route's own limit.
-            wait_s = full_s = DEFAULT_DEADLINE_S
-        else:
+        wait_s = full_s = DEFAULT_DEADLINE_S
+        with contextlib.suppress(ValueError):
+            # A missing or malformed value leaves the route's own limit.
+            wait_s = int(request.find(self._headers.deadline_ms) or b"") / 1000
             full_s = max(wait_s, self._full_wait_s.get(route.name, 0.0))
             self._full_wait_s[route.name] = full_s
         return calls.Call(
@@ -375,13 +368,6 @@
         return outcome
 
 
-def _is_failure(outcome: calls.Outcome) -> bool:
-    return (
-        not isinstance(outcome, http1.Answer)
-        or outcome.status >= FIRST_SERVER_ERROR
-    )
-
-
 def _may_retry(call: calls.Call, outcome: calls.Outcome) -> bool:
     """Whether another backend server may be sent the request."""
     if isinstance(outcome, http1.Answer):
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -205,10 +205,14 @@
         if isinstance(outcome, http1.Answer):
             failed = outcome.status >= FIRST_SERVER_ERROR
         elif outcome.not_run:
+            # A backend server that turns requests away with slots free says
+            # nothing of its version, but others are the better choice.
+            if outcome.kind is errors.ErrorKind.REFUSED_BY_SERVER:
+                self._failures.add(True)
             return
         else:
             failed = True
-        if failed and self.failed_calls.explain(call.deadline):
+        if failed and self.failed_calls.explain():
             self._log.write(
                 "failure not counted",
                 id=call.request_id.decode("latin-1"),
--- a/src/lycheestair/sidecar/streams.py
+++ b/src/lycheestair/sidecar/streams.py
@@ -108,6 +108,14 @@
         """Bytes received and not yet read."""
         return len(self._buffer)
 
+    @property
+    def peer_host(self) -> str:
+        """IP address of the other side, empty when it is not known."""
+        if self._transport is None:
+            return ""
+        name = self._transport.get_extra_info("peername")
+        return str(name[0]) if name else ""
+
     @property
     def unsent(self) -> int:
         """Bytes written and not yet handed to the kernel."""
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -379,9 +379,18 @@
         )
 
 
-async def send(address, method, target, headers, body=b"", timeout_s=5.0):
+async def send(
+    address, method, target, headers, body=b"", timeout_s=5.0, source=None
+):
     """Sends a request on a new connection; returns the whole answer."""
-    stream = await streams.connect(address, 1.0)
+    if source is None:
+        stream = await streams.connect(address, 1.0)
+    else:
+        _, stream = await asyncio.get_running_loop().create_connection(
+            streams.Stream,
+            *streams.split_address(address),
+            local_addr=(source, 0),
+        )
     try:
         stream.write(http1.encode_request(method, target, headers, body))
         async with asyncio.timeout(timeout_s):
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -111,6 +111,7 @@
         deadline_ms=3000,
         request_id=None,
         headers=(),
+        source=None,
     ):
         """Sends a client's request to this machine's node."""
         return await standins.send(
@@ -124,8 +125,13 @@
                 *headers,
             ],
             body,
+            source=source,
         )
 
+    async def call(self, *args, **kwargs):
+        """Makes a call of the backend server on this machine."""
+        return await self.request(*args, source=self.host, **kwargs)
+
 
 class World:
     """Store and machines."""
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -103,19 +103,16 @@
 
             async def fail(request, stream):
                 if lacks_call:
-                    remaining_ms = int(request.find(b"x-deadline-ms"))
-                    await asyncio.sleep(0.05)
-                    answer = await desk.request(
-                        "/press/1", b"POST", deadline_ms=remaining_ms - 50
-                    )
+                    answer = await desk.call("/press/1", b"POST")
                     assert answer.status == 500
                 stream.write(desk.worker.encode(request))
 
             desk.worker.misbehave = fail
             desk.worker.status = 500
-            for number in range(4):
-                answer = await desk.request(deadline_ms=2000 + 200 * number)
-                assert answer.status == 500
+            for _ in range(4):
+                # A client's failed request explains nothing.
+                assert (await desk.request("/none/1")).status == 404
+                assert (await desk.request()).status == 500
             answers, failures, _ = desk.node._server.counts.get(
                 "view", [0, 0, 0]
             )
