Don't run a request again that lacked a call

Change: the serving node tells the entry node that an answer failed for lack of a call; it is neither tried again nor held against the backend server. A call of the own backend server, told by its source address, is tried again whatever time it has, as nobody else sends it again; charges count such calls only.

--- a/src/lycheestair/sidecar/budget.py
+++ b/src/lycheestair/sidecar/budget.py
@@ -53,10 +53,12 @@
 
     Attributes:
       requests: Requests for the service that began at this node.
+      calls: Those of them that the own backend server made.
     """
 
     def __init__(self, bounds: settings_lib.Bounds, table: members.MemberTable):
         self.requests = _Count()
+        self.calls = _Count()
         self._ratio = (
             bounds.retry_ratio
             * USED_SHARE
@@ -79,8 +81,14 @@
         carried = self.requests.read_rate() * CARRY_S * self._ratio
         return max(1.0, self._even_slack * BURST_SHARE + carried)
 
-    def add_request(self) -> None:
-        """Earns the share of one request."""
+    def add_request(self, own_call: bool = False) -> None:
+        """Earns the share of one request.
+
+        Args:
+          own_call: Whether the own backend server makes it.
+        """
+        if own_call:
+            self.calls.add()
         now = clock.read_s()
         rate = self._even_slack * (1.0 - BURST_SHARE) / self._window_s
         earned = (now - self._at) * rate + self._ratio
@@ -134,8 +142,7 @@
         """Counts a run at the own backend server.
 
         The calls of a repeated run are repeats at the services called. Which
-        calls a run has made is not known, so that the usual number is charged;
-        requests of clients of this machine are taken for calls.
+        calls a run has made is not known, so that the usual number is charged.
         """
         self._runs.add()
         if not repeat:
@@ -143,5 +150,5 @@
         runs = self._runs.read()
         for service, budget in self._budgets.items():
             if service != self._own:
-                calls_per_run = budget.requests.read() / runs
+                calls_per_run = budget.calls.read() / runs
                 budget.charge(min(MAX_CALLS_PER_RUN, calls_per_run))
--- a/src/lycheestair/sidecar/calls.py
+++ b/src/lycheestair/sidecar/calls.py
@@ -20,6 +20,7 @@
       objective: Steady time in seconds until which it has its full value.
       service: Service that it is for; the serving node does not need it.
       may_return: Whether its client would send it again after a failure.
+      own: Whether the own backend server makes it; it does not try again.
       repeat: Whether another backend server has been sent it before.
       caller: Service of the instance where the request began.
     """
@@ -38,6 +39,7 @@
     objective: float
     service: ids.ServiceName = ids.ServiceName("")
     may_return: bool = False
+    own: bool = False
     repeat: bool = False
 
     @property
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -137,8 +137,6 @@
             answer = await self._answer_while_connected(stream, request)
             if answer is None:
                 return False
-            if answer.status >= FIRST_ERROR and stream.peer_host == self._host:
-                self._server.failed_calls.add()
             keep = request.keep and not self._gossip.leaving
             stream.write(http1.encode_answer(answer, request.method, keep))
             await stream.drain()
@@ -150,7 +148,8 @@
         self, stream: streams.Stream, request: http1.Request
     ) -> http1.Answer | None:
         """Returns the answer; None once the client has left."""
-        task = asyncio.get_running_loop().create_task(self.answer(request))
+        own = stream.peer_host == self._host
+        task = asyncio.get_running_loop().create_task(self.answer(request, own))
 
         def cancel() -> None:
             task.cancel()
@@ -196,8 +195,15 @@
 
     # Requests.
 
-    async def answer(self, request: http1.Request) -> http1.Answer:
-        """Returns the backend server's answer or one refusal."""
+    async def answer(
+        self, request: http1.Request, own_call: bool = False
+    ) -> http1.Answer:
+        """Returns the backend server's answer or one refusal.
+
+        Args:
+          request: What was read.
+          own_call: Whether it is a call of the own backend server.
+        """
         arrived = clock.read_s()
         request_id = request.find(self._headers.request_id) or b""
         catalog = self._gossip.catalog
@@ -212,7 +218,10 @@
                 outcome = calls.Refusal(errors.ErrorKind.NO_ROUTE)
             else:
                 call = self._start_call(request, request_id, route, arrived)
+                call.own = own_call
                 outcome = await self._run(call, route, tried)
+        if own_call and _is_failure(outcome):
+            self._server.failed_calls.add()
         self._log_outcome(request_id, catalog, route, outcome, arrived, tried)
         if isinstance(outcome, http1.Answer):
             return http1.Answer(
@@ -307,7 +316,7 @@
         client must not be told that its request has not run.
         """
         retries = self._budgets.find(call.service)
-        retries.add_request()
+        retries.add_request(call.own)
         reached = overloaded = 0
         outcome: calls.Outcome = calls.Refusal(errors.ErrorKind.NO_ENDPOINT)
         may_have_run = False
@@ -334,7 +343,7 @@
                 break
             if reached and (
                 reached >= route.max_attempts
-                or call.may_return
+                or (call.may_return and not call.own)
                 or not retries.try_spend()
             ):
                 break
@@ -362,16 +371,29 @@
             self._metrics.count("forwarded", peer=member.record.node_id)
             outcome = await link.call(call)
         if isinstance(outcome, http1.Answer):
-            member.record_outcome(outcome.status >= FIRST_SERVER_ERROR)
+            if not outcome.lacks_call:
+                member.record_outcome(outcome.status >= FIRST_SERVER_ERROR)
         elif outcome.reached:
             member.record_outcome(True)
         return outcome
 
 
+def _is_failure(outcome: calls.Outcome) -> bool:
+    return (
+        not isinstance(outcome, http1.Answer) or outcome.status >= FIRST_ERROR
+    )
+
+
 def _may_retry(call: calls.Call, outcome: calls.Outcome) -> bool:
     """Whether another backend server may be sent the request."""
     if isinstance(outcome, http1.Answer):
-        return call.idempotent and outcome.status >= FIRST_SERVER_ERROR
+        # The call has had its own attempts; another run would repeat it at
+        # the expense of a slot here and of the budget of what it calls.
+        return (
+            call.idempotent
+            and outcome.status >= FIRST_SERVER_ERROR
+            and not outcome.lacks_call
+        )
     if outcome.kind is errors.ErrorKind.TIMEOUT:
         return False
     return outcome.not_run or call.idempotent
--- a/src/lycheestair/sidecar/http1.py
+++ b/src/lycheestair/sidecar/http1.py
@@ -49,12 +49,14 @@
 
     Attributes:
       keep: Whether its connection may be used for another request.
+      lacks_call: Whether the backend server failed for lack of a call.
     """
 
     status: int
     headers: list[messages.Header]
     body: bytes
     keep: bool = True
+    lacks_call: bool = False
 
     def find(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, given in lower case."""
--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -369,6 +369,7 @@
             outcome.status,
             outcome.headers,
             outcome.body,
+            outcome.lacks_call,
         ]
     return [
         frames.FrameType.REFUSAL,
@@ -383,9 +384,12 @@
 
 def _decode_outcome(frame: frames.Frame) -> calls.Outcome:
     if frame[0] == frames.FrameType.ANSWER:
-        _, _, _, status, headers, body = frame
+        _, _, _, status, headers, body, lacks_call = frame
         return http1.Answer(
-            status, [(name, value) for name, value in headers], body
+            status,
+            [(name, value) for name, value in headers],
+            body,
+            lacks_call=bool(lacks_call),
         )
     _, _, _, kind, detail, reached, retry_after_s = frame
     return calls.Refusal(errors.ErrorKind(kind), detail, reached, retry_after_s)
--- a/src/lycheestair/sidecar/peer_server.py
+++ b/src/lycheestair/sidecar/peer_server.py
@@ -183,10 +183,8 @@
             return
         outcome = running.outcome
         if isinstance(outcome, http1.Answer):
-            outcome = http1.Answer(
-                outcome.status,
-                messages.select_end_to_end(outcome.headers),
-                outcome.body,
+            outcome = dataclasses.replace(
+                outcome, headers=messages.select_end_to_end(outcome.headers)
             )
         running.stream.write(
             frames.encode(
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import time
 from typing import Final
 
@@ -194,14 +195,14 @@
                 isinstance(outcome, http1.Answer)
                 or outcome.kind is errors.ErrorKind.TIMEOUT
             )
-            self._count(call, outcome, clock.read_s() - started)
-            return outcome
+            return self._count(call, outcome, clock.read_s() - started)
         finally:
             self.admission.release(call, measured)
 
     def _count(
         self, call: calls.Call, outcome: calls.Outcome, taken_s: float
-    ) -> None:
+    ) -> calls.Outcome:
+        """Counts an outcome; returns it with what is known of its cause."""
         if isinstance(outcome, http1.Answer):
             failed = outcome.status >= FIRST_SERVER_ERROR
         elif outcome.not_run:
@@ -209,7 +210,7 @@
             # nothing of its version, but others are the better choice.
             if outcome.kind is errors.ErrorKind.REFUSED_BY_SERVER:
                 self._failures.add(True)
-            return
+            return outcome
         else:
             failed = True
         if failed and self.failed_calls.explain():
@@ -218,12 +219,15 @@
                 id=call.request_id.decode("latin-1"),
                 reason="a call of the backend server failed",
             )
-            return
+            if isinstance(outcome, http1.Answer):
+                return dataclasses.replace(outcome, lacks_call=True)
+            return outcome
         self._failures.add(failed)
         count = self.counts.setdefault(call.route, [0, 0, 0])
         count[0] += 1
         count[1] += failed
         count[2] += int(taken_s * 1000)
+        return outcome
 
     async def _send(
         self, endpoint: members.Endpoint, call: calls.Call
--- a/tests/test_platform_budget.py
+++ b/tests/test_platform_budget.py
@@ -73,13 +73,13 @@
     called = budgets.find(OTHER)
     for _ in range(100):
         budgets.add_run(False)
-        called.add_request()
-        called.add_request()
+        called.add_request(own_call=True)
+        called.add_request(own_call=True)
     spent = 0
     while called.try_spend():
         spent += 1
     assert spent
-    called.add_request()
+    called.add_request(own_call=True)
     tokens = called._tokens
     budgets.add_run(True)
     assert tokens - called._tokens == pytest.approx(2.0, abs=0.1)
@@ -91,7 +91,7 @@
     del fake
     budgets = budget_lib.RetryBudgets(OWN, BOUNDS, make_table())
     own = budgets.find(OWN)
-    own.add_request()
+    own.add_request(own_call=True)
     tokens = own._tokens
     budgets.add_run(True)
     assert own._tokens == tokens
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,6 +1,7 @@
 """The whole path on the platform's protocol, against stand-ins."""
 
 import asyncio
+import functools
 import re
 
 import platform_standins as standins
@@ -449,6 +450,58 @@
     play(scenario)
 
 
+def test_call_of_the_own_server_is_tried_elsewhere_whatever_its_time():
+    """Guards calls, which nobody sends again, against a single refusal."""
+
+    async def scenario():
+        async with platform_world.run(*DESKS) as world:
+            first, _, press = world.machines
+
+            async def shed(request, stream):
+                stream.write(
+                    http1.encode_answer(
+                        http1.Answer(503, [(b"x-not-executed", b"1")], b""),
+                        request.method,
+                        True,
+                    )
+                )
+
+            first.worker.misbehave = shed
+            for _ in range(3):
+                answer = await press.call("/view/1", deadline_ms=3000)
+                assert answer.status == 200
+
+    play(scenario)
+
+
+def test_request_that_lacks_a_call_is_not_run_again():
+    """Guards the budget of a failing service against runs of its callers."""
+
+    async def scenario():
+        async with platform_world.run(*DESKS) as world:
+            first, second, press = world.machines
+            press.worker.status = 500
+
+            async def fail(machine, request, stream):
+                answer = await machine.call("/press/1", b"POST")
+                assert answer.status == 500
+                stream.write(machine.worker.encode(request))
+
+            for machine in (first, second):
+                machine.worker.status = 500
+                machine.worker.misbehave = functools.partial(fail, machine)
+            # At the own backend server, and over another node.
+            for machine in (first, press):
+                request_id = platform_world.make_id()
+                answer = await machine.request(
+                    deadline_ms=800, request_id=request_id
+                )
+                assert answer.status == 500
+                assert count_runs(world, request_id) == 1
+
+    play(scenario)
+
+
 def test_order_with_an_unknown_outcome_is_not_repeated():
     """Guards against a second run, and against a refusal that says not run."""
 
