--- a/src/lycheestair/sidecar/balancer.py
+++ b/src/lycheestair/sidecar/balancer.py
@@ -10,8 +10,9 @@
 from lycheestair.sidecar import versions as versions_lib
 
 # What a request costs on a way beside its time, as milliseconds of waiting:
-# links between regions are paid by volume.
-ZONE_COST_MS: Final = 40.0
+# links between failure domains and regions are paid by volume. From the trials
+# in docs/notes/platform.md.
+ZONE_COST_MS: Final = 150.0
 REGION_COST_MS: Final = 300.0
 REGION_COST_MS_PER_BYTE: Final = 0.05
 # A backend server that is only slower costs little as long as none waits.
--- a/tests/test_platform_balancer.py
+++ b/tests/test_platform_balancer.py
@@ -2,6 +2,8 @@
 
 import types
 
+import pytest
+
 from lycheestair.sidecar import balancer as balancer_lib
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
@@ -17,15 +19,16 @@
         return self.shares
 
 
-def make_record(name):
-    return members.NodeRecord(name, f"{name}:1", "a1", "north", 1)
+def make_record(name, domain="a1"):
+    return members.NodeRecord(name, f"{name}:1", domain, "north", 1)
 
 
-def make_balancer(shares, *versions):
+def make_balancer(shares, *versions, domains=()):
     """Returns a balancer; node number n serves the n-th version."""
     table = members.MemberTable(make_record("own"))
     for number, version in enumerate(versions, 1):
-        member = table.add(make_record(f"n{number}"))
+        domain = domains[number - 1] if domains else "a1"
+        member = table.add(make_record(f"n{number}", domain))
         member.reachable = True
         member.endpoint = members.Endpoint(
             f"i{number}",
@@ -70,3 +73,23 @@
     _, balancer = make_balancer({"v1": 0.93, "v2": 0.07}, "v1", "v2")
     chosen = {balancer.choose(make_call(), {"n2"}) for _ in range(200)}
     assert [member.record.node_id for member in chosen] == ["n1"]
+
+
+@pytest.mark.parametrize(
+    ("waiting", "chosen"), [(0, {"n1"}), (2, {"n2"}), (6, {"n2"})]
+)
+def test_slower_server_of_the_own_domain_is_preferred_while_it_has_room(
+    waiting, chosen
+):
+    """Guards against paying for a link that saves hardly any time."""
+    table, balancer = make_balancer(
+        {"v1": 1.0}, "v1", "v1", domains=("a1", "b1")
+    )
+    near, far = table.list_others()
+    near.tried = far.tried = True
+    near.report_load(4 if waiting else 2, waiting, 350, 0)
+    far.report_load(2, 0, 150, 0)
+    names = {
+        balancer.choose(make_call(), set()).record.node_id for _ in range(50)
+    }
+    assert names == chosen
