--- a/src/lycheestair/sidecar/dependencies.py
+++ b/src/lycheestair/sidecar/dependencies.py
@@ -11,7 +11,7 @@
 from lycheestair.sidecar import clock
 
 # A backend server answers its request this soon after a call failed. Nine in
-# ten do within 30 ms (docs/notes/platform.md, failures of calls).
+# ten did on a day with a failing service (docs/notes/platform.md).
 MAX_LAG_S: Final = 0.05
 
 
