Test late writes to the store

The stand-in does a write seconds after its connection got no answer, as the platform may. Neither the verdict on a rollout nor the record of a node that has restarted is undone by it; no fault was found. Stale reads are not modelled: the client never asks for them.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -72,6 +72,9 @@
     down: bool = False
     silent: bool = False
     lose_writes: int = 0
+    # Writes that get no answer and are done after this time.
+    late_writes: int = 0
+    late_s: float = 1.0
     limited: bool = False
 
 
@@ -150,6 +153,11 @@
                 if self.faults.silent:
                     await asyncio.sleep(30)
                     return
+                if request.method != b"GET" and self.faults.late_writes:
+                    self.faults.late_writes -= 1
+                    await asyncio.sleep(self.faults.late_s)
+                    await self._answer(request)
+                    return
                 status, document = await self._answer(request)
                 if (
                     request.method != b"GET"
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -173,6 +173,37 @@
     play(scenario)
 
 
+def test_late_write_of_an_earlier_process_does_not_replace_the_record():
+    """Guards the address under which nodes that start later are found."""
+
+    async def scenario():
+        async with platform_world.run(*DESKS) as world:
+            machine = world.machines[0]
+            key = ("lycheestair-nodes", "n1")
+            machine.node.stop()
+            world.store.faults.late_writes = 1
+            await asyncio.sleep(0.1)
+            await machine.start_node()
+            await platform_world.wait_for(
+                lambda: not world.store.faults.late_writes
+            )
+            machine.node.stop()
+            await asyncio.sleep(0.1)
+            await machine.start_node()
+            await platform_world.wait_for(machine.is_ready)
+            incarnation = machine.node._table.own.record.incarnation
+
+            def is_current():
+                record = world.store.objects[key]["specification"]
+                return record[-1] == incarnation
+
+            await platform_world.wait_for(is_current)
+            await asyncio.sleep(world.store.faults.late_s + 0.2)
+            assert is_current()
+
+    play(scenario)
+
+
 def test_document_of_another_writer_is_passed_over():
     """Guards against a malformed entry that hides the good ones."""
 
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -188,7 +188,7 @@
     assert planner.find_order(SERVICE) is done
 
 
-@pytest.mark.parametrize("fault", ["none", "lost", "limited"])
+@pytest.mark.parametrize("fault", ["none", "lost", "late", "limited"])
 @pytest.mark.parametrize("good", [True, False])
 def test_rollout_ends_in_the_store(good, fault):
     """Guards against rollouts that stay open, also after lost answers."""
@@ -201,6 +201,8 @@
                 new.status = 500
             if fault == "lost":
                 world.store.faults.lose_writes = 2
+            if fault == "late":
+                world.store.faults.late_writes = 2
             world.store.put(
                 "rollouts",
                 "desk",
@@ -226,6 +228,10 @@
                 return status and status["state"] == expected
 
             await platform_world.wait_for(ended, 6.0)
+            if fault == "late":
+                # A write that is done now must not undo the verdict.
+                await asyncio.sleep(world.store.faults.late_s)
+                assert ended()
             status = world.store.read_status("rollouts", "desk")
             assert status["target_version"] == "v2"
             await asyncio.sleep(0.3)
