--- a/src/lycheestair/ids.py
+++ b/src/lycheestair/ids.py
@@ -10,6 +10,8 @@
 NodeId = NewType("NodeId", str)
 Region = NewType("Region", str)
 FailureDomain = NewType("FailureDomain", str)
+# Group of nodes that exchange their statuses directly.
+Cell = NewType("Cell", str)
 # Sequence number of a configuration, strictly increasing from 1. 0 is the empty
 # configuration before the first note.
 Generation = NewType("Generation", int)
--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -73,6 +73,8 @@
         self._record_revisions: dict[str, int] = {}
         self._unreachable_since: dict[ids.NodeId, float] = {}
         self._active = False
+        # Set while this node acts as a feeder.
+        self._activated = asyncio.Event()
         self._eligible_since = math.inf
         self._store_probed_at = 0.0
 
@@ -91,6 +93,7 @@
                 lambda: self._watch(
                     kinds.nodes, NODES_WATCH_TIMEOUT_S, self._apply_node_records
                 ),
+                self._run_role,
                 self._run_first_feeder_tasks,
             ):
                 group.create_task(self._run_with_restarts(work))
@@ -117,6 +120,7 @@
     def _update_active(self) -> bool:
         """Updates and returns whether this node acts as a feeder."""
         if self._gossip.leaving:
+            self._activated.clear()
             return False
         now = clock.read_s()
         active = self._find_feeder_rank() is not None
@@ -131,8 +135,26 @@
             self._log.write(
                 "feeder role acquired" if active else "feeder role released"
             )
+        if active:
+            self._activated.set()
+        else:
+            self._activated.clear()
         return active
 
+    async def _run_role(self) -> None:
+        """Updates the role of this node, and probes the store for the others.
+
+        The other tasks wait for the role, so that they cost nothing at the
+        nodes that are no feeders.
+        """
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            if (
+                not self._update_active()
+                and self._gossip.store_available is False
+            ):
+                await self._probe_store_if_due()
+
     def _set_store_available(self, answered: bool, error: str = "") -> None:
         if self._gossip.store_available == answered:
             return
@@ -227,12 +249,7 @@
         while True:
             if not self._update_active():
                 revision = 0
-                await asyncio.sleep(POLL_INTERVAL_S)
-                if (
-                    kind == self._kinds.configuration
-                    and self._gossip.store_available is False
-                ):
-                    await self._probe_store_if_due()
+                await self._activated.wait()
                 continue
             try:
                 if revision:
@@ -307,12 +324,13 @@
             self._gossip.publish_rollouts()
 
     def _apply_node_records(self, items: list[store_lib.StoredItem]) -> None:
+        records = []
         for item in items:
             if item.deleted:
                 self._record_revisions.pop(item.name, None)
                 continue
             try:
-                record = members.decode_record(item.value)
+                records.append(members.decode_record(item.value))
             except ValueError as error:
                 self._log.write(
                     "invalid node record ignored",
@@ -321,12 +339,13 @@
                 )
                 continue
             self._record_revisions[item.name] = item.revision
-            self._gossip.add_record(record)
+        self._gossip.add_records(records)
 
     # Tasks of the first feeder.
 
     async def _run_first_feeder_tasks(self) -> None:
         while True:
+            await self._activated.wait()
             await asyncio.sleep(POLL_INTERVAL_S)
             self._track_unreachable()
             if self._gossip.leaving or self._gossip.store_available is not True:
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -2,17 +2,20 @@
 
 import asyncio
 from collections.abc import Iterable
+import heapq
+import math
 from typing import Any
 from typing import Final
 
 from lycheestair import ids
 from lycheestair.sidecar import catalog as catalog_lib
+from lycheestair.sidecar import cells as cells_lib
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import digests as digests_lib
 from lycheestair.sidecar import event_log
 from lycheestair.sidecar import frames
 from lycheestair.sidecar import links
 from lycheestair.sidecar import members
-from lycheestair.sidecar import regions as regions_lib
 from lycheestair.sidecar import replica as replica_lib
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import serving
@@ -21,12 +24,20 @@
 from lycheestair.sidecar import versions as versions_lib
 
 TICK_INTERVAL_S: Final = 0.1
+# Interval of the work that goes through all members and changes little between
+# two ticks: the choice of persistent links and the search for bad versions.
+SLOW_TICK_INTERVAL_S: Final = 0.3
+# The feeders are selected anew after this time, or when the state of this node
+# changes.
+FEEDERS_MAX_AGE_S: Final = 0.1
 # Load changes within tenths of a second, but responses to calls report it too,
 # so statuses may be sent less often.
 STATUS_INTERVAL_S: Final = 0.5
-# With more peers than this in the region, the status interval grows in
+# With more peers than this in the cell, the status interval grows in
 # proportion, so that the number of statuses received per second stays constant.
 MAX_PEERS_AT_FULL_STATUS_RATE: Final = 15
+# An idle link is pinged when this many statuses of its node are overdue.
+IDLE_PING_INTERVALS: Final = 2.5
 # Number of feeders, the nodes that watch the store on behalf of all nodes. Each
 # watch costs store calls, but a change must still arrive when one feeder or its
 # connection to the store fails.
@@ -43,7 +54,8 @@
       leaving: Whether this node is shutting down.
       store_available: Whether the store answers this node; None if unknown.
       store_latency_ms: Duration of a store call from this node.
-      regions: Exchange of digests with other regions.
+      cells: Cells of the nodes.
+      digests: Exchange of digests with other cells.
       replica: Holder of the configuration in force.
     """
 
@@ -64,21 +76,30 @@
         self._planner = planner
         self._log = log
         self._links: dict[ids.NodeId, links.PeerLink] = {}
-        self.regions = regions_lib.RegionExchange(
-            settings.region,
+        self.cells = cells_lib.CellMap(table)
+        self.digests = digests_lib.DigestExchange(
             table,
+            self.cells,
             self._links,
             self._apply_relayed_record,
             self._encode_status,
             log,
         )
         self.replica = replica_lib.CatalogReplica(
-            table, self._links, self.regions, self.list_feeders, log
+            table,
+            self._links,
+            self.cells,
+            self.digests,
+            self.list_feeders,
+            log,
         )
         self._status_encoder = statuses.StatusEncoder(
             table.own, server, planner
         )
         self._status_sent_at = 0.0
+        self._slow_tick_at = 0.0
+        self._feeders: list[members.Member] = []
+        self._feeders_selected_at = -math.inf
 
     @property
     def catalog(self) -> catalog_lib.Catalog:
@@ -98,52 +119,72 @@
           The member; None for this node, and for a record whose address is used
           by another node that started later.
         """
+        member = self._add_to_table(record)
+        if member is not None:
+            self._connect(member)
+        return member
+
+    def add_records(self, records: Iterable[members.NodeRecord]) -> None:
+        """Adds or updates the members of records and connects to them.
+
+        All members are known before the first connection is opened, so that
+        nodes of other cells get none.
+        """
+        added = [self._add_to_table(record) for record in records]
+        for member in added:
+            if member is not None and self._table.find(member.record.node_id):
+                self._connect(member)
+
+    def _add_to_table(
+        self, record: members.NodeRecord
+    ) -> members.Member | None:
         if record.node_id == self._table.own.record.node_id:
             return None
         if not self._resolve_address_conflict(record):
             return None
-        added = self._table.add(record)
-        member = self._table.find(record.node_id)
-        if added is not None and member is not None:
+        if self._table.add(record) is not None:
             self._log.write(
                 "member added or restarted",
                 peer=record.node_id,
                 address=record.address,
                 incarnation=record.incarnation,
             )
-        link = self._links.get(record.node_id)
-        if link is None and member is not None:
+        return self._table.find(record.node_id)
+
+    def _connect(self, member: members.Member) -> None:
+        node_id = member.record.node_id
+        link = self._links.get(node_id)
+        if link is None:
             link = links.PeerLink(
                 member,
                 self.build_hello_frames,
                 self.handle_frame,
                 self._on_reachability_change,
                 self._remove_previous_owner,
-                self.regions.is_in_own_region(member),
+                self.cells.is_in_own_cell(member),
                 self._log,
             )
-            self._links[record.node_id] = link
+            self._links[node_id] = link
             link.start()
-        elif link is not None and not link.connected:
+        elif not link.connected:
             link.reconnect()
-        return member
 
     def _resolve_address_conflict(self, record: members.NodeRecord) -> bool:
-        """Removes members whose address is now used by the node of a record.
+        """Removes the member whose address is now used by a record's node.
 
         Returns:
           False if another node that started later uses the address.
         """
-        for member in self._table.list_others():
-            known = member.record
-            if (
-                known.address != record.address
-                or known.node_id == record.node_id
-            ):
-                continue
-            if known.incarnation > record.incarnation:
-                return False
-            self._remove_previous_owner(member, record)
+        member = self._table.find_by_address(record.address)
+        if (
+            member is None
+            or member is self._table.own
+            or member.record.node_id == record.node_id
+        ):
+            return True
+        if member.record.incarnation > record.incarnation:
+            return False
+        self._remove_previous_owner(member, record)
         return True
 
     def _remove_previous_owner(
@@ -169,13 +210,13 @@
             member.generation = ids.Generation(0)
             return
         link = self._links[member.record.node_id]
-        if self.regions.is_in_own_region(member) or link.persistent:
+        if self.cells.is_in_own_cell(member) or link.persistent:
             link.send(self._encode_rollouts())
-            self.regions.send_initial_digests(link)
+            self.digests.send_initial(link)
         if not self.catalog.generation and member.generation:
             self.replica.fetch(member)
         elif (
-            not self.regions.is_in_own_region(member)
+            not self.cells.is_in_own_cell(member)
             and self._table.own in self.list_feeders()
         ):
             self.replica.send_change(link, member.generation)
@@ -216,29 +257,30 @@
                 self.apply_rollout(*rollout_lib.decode(fields))
                 for fields in frame[1]
             ]
-            if any(changes) and not self.regions.is_in_own_region(member):
+            if any(changes) and not self.cells.is_in_own_cell(member):
                 self.publish_rollouts()
         elif frame_type == frames.FrameType.DIGEST:
-            self.regions.apply_digest(member, frame[1])
+            self.digests.apply(member, frame[1])
 
     def _apply_relayed_record(
-        self, record: members.NodeRecord, status: list[Any] | None
+        self, fields: list[Any], status: list[Any] | None
     ) -> None:
         """Applies what a digest reports about a node.
 
         Args:
-          record: Record of the node.
+          fields: Encoded record of the node.
           status: Encoded status, whose first field is its number; None if the
-            relay of the node's region can't reach the node.
+            relay of the node's cell can't reach the node.
         """
-        member = self.add_record(record)
-        if (
-            member is None
-            or self.regions.is_in_own_region(member)
-            or member.record.incarnation > record.incarnation
-        ):
+        member = self._table.find_by_record(fields)
+        if member is None:
+            record = members.decode_record(fields)
+            member = self.add_record(record)
+            if member is None or member.record.incarnation > record.incarnation:
+                return
+        if self.cells.is_in_own_cell(member):
             return
-        link = self._links.get(record.node_id)
+        link = self._links.get(member.record.node_id)
         if status is None:
             member.reachable = link is not None and link.connected
         elif status[0] > member.status_number:
@@ -267,35 +309,38 @@
         return self._status_encoder.encode()
 
     def publish_status(self) -> None:
-        """Sends the status of this node to the members of its region."""
+        """Sends the status of this node to the members of its cell."""
         own = self._table.own
         if own.endpoint != self._serving_node.endpoint:
             own.endpoint = self._serving_node.endpoint
             self._table.rebuild_service_index()
         data = frames.encode([frames.FrameType.STATUS, self._encode_status()])
-        for link in self._list_links_in_own_region():
+        for link in self.digests.list_links_in_own_cell():
             link.send_bytes(data)
 
-    def _list_links_in_own_region(self) -> list[links.PeerLink]:
-        return [
-            link
-            for link in self._links.values()
-            if self.regions.is_in_own_region(link.member)
-        ]
-
     # Feeders.
 
     def list_feeders(self) -> list[members.Member]:
         """Returns the feeders by rank; this node may be one of them."""
         own = self._table.own
+        now = clock.read_s()
+        if (
+            now - self._feeders_selected_at < FEEDERS_MAX_AGE_S
+            and own.store_available is self.store_available
+            and own.store_latency_ms == self.store_latency_ms
+            and own.leaving is self.leaving
+        ):
+            return self._feeders
         own.store_available = self.store_available
         own.store_latency_ms = self.store_latency_ms
         own.leaving = self.leaving
-        return self._select_feeders(
+        self._feeders = self._select_feeders(
             member
             for member in self._table
             if member.store_available is not False
         )
+        self._feeders_selected_at = now
+        return self._feeders
 
     def should_probe_store(self) -> bool:
         """Whether no node can use the store and this one is to probe it."""
@@ -307,18 +352,18 @@
     def _select_feeders(
         candidates: Iterable[members.Member],
     ) -> list[members.Member]:
-        eligible = [
-            member
-            for member in candidates
-            if member.reachable and not member.leaving
-        ]
-        eligible.sort(
+        return heapq.nsmallest(
+            FEEDER_COUNT,
+            (
+                member
+                for member in candidates
+                if member.reachable and not member.leaving
+            ),
             key=lambda member: (
                 member.store_latency_ms > REMOTE_STORE_LATENCY_MS,
                 member.record.node_id,
-            )
+            ),
         )
-        return eligible[:FEEDER_COUNT]
 
     # Rollouts.
 
@@ -345,14 +390,14 @@
         return True
 
     def publish_rollouts(self) -> None:
-        """Sends the known rollouts to the nodes of this region.
+        """Sends the known rollouts to the nodes of this cell.
 
-        One relay of each other region receives them too.
+        One relay of each other cell receives them too.
         """
         data = frames.encode(self._encode_rollouts())
         for link in (
-            self._list_links_in_own_region()
-            + self.regions.list_links_to_other_regions()
+            self.digests.list_links_in_own_cell()
+            + self.digests.list_links_to_other_cells()
         ):
             link.send_bytes(data)
 
@@ -385,19 +430,28 @@
     def _tick(self, now: float) -> None:
         self._serving_node.check_heartbeat()
         self._table.own.report_load(*self._serving_node.read_load())
-        for link in list(self._links.values()):
-            link.check()
-        if now - self._status_sent_at >= STATUS_INTERVAL_S * max(
+        status_interval_s = STATUS_INTERVAL_S * max(
             1.0,
-            len(self._list_links_in_own_region())
+            len(self.cells.list_members(self.cells.own_cell))
             / MAX_PEERS_AT_FULL_STATUS_RATE,
-        ):
+        )
+        idle_ping_after_s = max(
+            links.IDLE_PING_AFTER_S, IDLE_PING_INTERVALS * status_interval_s
+        )
+        for link in list(self._links.values()):
+            link.check(idle_ping_after_s)
+        if now - self._status_sent_at >= status_interval_s:
             self._status_sent_at = now
             self.publish_status()
-        self.regions.update_persistent_links(self.list_feeders())
-        self.regions.send_digest_if_due(now, self._planner.in_rollout)
-        self.regions.expire_regions(now)
+        self.digests.send_if_due(now, self._planner.in_rollout)
         self.replica.fetch_newer(now)
+        if now - self._slow_tick_at >= SLOW_TICK_INTERVAL_S:
+            self._slow_tick_at = now
+            self._slow_tick(now)
+
+    def _slow_tick(self, now: float) -> None:
+        self.digests.update_persistent_links(self.list_feeders())
+        self.digests.expire_cells(now)
         for rollout in self._planner.detect_bad_versions():
             self._log.write(
                 "bad version detected",
--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -26,8 +26,12 @@
 MAX_BACKOFF_S: Final = 1.0
 # Time without received frames after which a link with pending calls is pinged.
 PING_AFTER_S: Final = 0.15
-# Idle links are pinged less often to save traffic.
+# Time without frames from a node, on any connection, after which an idle
+# persistent link to it is pinged. Statuses arrive more often.
 IDLE_PING_AFTER_S: Final = 1.5
+# Time without received frames after which an idle persistent link is pinged in
+# any case: a single connection may have failed while another one works.
+MAX_UNVERIFIED_S: Final = 10.0
 # Time without a response to a ping after which other members are preferred:
 # several round trips between regions.
 UNRESPONSIVE_AFTER_S: Final = 0.15
@@ -155,9 +159,9 @@
 
     def set_persistent(self, persistent: bool) -> None:
         """Sets whether the link stays connected without calls."""
-        self.persistent = persistent
-        if persistent:
+        if persistent and not self.persistent:
             self._connection_requested.set()
+        self.persistent = persistent
 
     def request_connection(self) -> None:
         """Requests a connection for frames that are about to be sent."""
@@ -177,7 +181,7 @@
 
     async def call(self, call: calls.Call) -> calls.Outcome:
         """Sends a call and returns its outcome."""
-        if not self.persistent:
+        if not self.persistent or self._stream is None:
             await self._connect_on_demand(call)
         number = next(_CALL_NUMBERS)
         pending = _PendingCall(call)
@@ -199,10 +203,11 @@
             self._pending.pop(number, None)
 
     async def _connect_on_demand(self, call: calls.Call) -> None:
-        """Connects an on-demand link and waits for the attempt to end."""
+        """Connects if necessary and waits for the attempt to end."""
         self.request_connection()
         if self._stream is not None:
             return
+        self.reconnect()
         self._attempt_finished.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(
@@ -210,8 +215,13 @@
             ):
                 await self._attempt_finished.wait()
 
-    def check(self) -> None:
-        """Pings a silent link; closes an unresponsive or idle one."""
+    def check(self, idle_ping_after_s: float = IDLE_PING_AFTER_S) -> None:
+        """Pings a silent link; closes an unresponsive or idle one.
+
+        Args:
+          idle_ping_after_s: Time in seconds without frames from the node after
+            which an idle link is pinged.
+        """
         stream = self._stream
         if stream is None:
             return
@@ -232,12 +242,22 @@
                     pending=len(self._pending),
                 )
                 stream.abort()
-        elif now - self._received_at > (
-            PING_AFTER_S if self._pending else IDLE_PING_AFTER_S
-        ):
+        elif self._must_ping(now, idle_ping_after_s):
             self._pinged_at = now
             self.send([frames.FrameType.PING])
 
+    def _must_ping(self, now: float, idle_ping_after_s: float) -> bool:
+        silent_s = now - self._received_at
+        if self._pending:
+            return silent_s > PING_AFTER_S
+        if not self.persistent:
+            return False
+        return (
+            silent_s > MAX_UNVERIFIED_S
+            or min(silent_s, now - self.member.last_frame_at)
+            > idle_ping_after_s
+        )
+
     def _is_needed(self, now: float) -> bool:
         return bool(
             self.persistent
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -32,7 +32,13 @@
 
     def encode(self) -> list[Any]:
         """Returns the record as a list of plain values."""
-        return list(dataclasses.astuple(self))
+        return [
+            self.node_id,
+            self.address,
+            self.failure_domain,
+            self.region,
+            self.incarnation,
+        ]
 
 
 def decode_record(fields: Any) -> NodeRecord:
@@ -228,13 +234,25 @@
 
 
 class MemberTable:
-    """All known nodes, including this one."""
+    """All known nodes, including this one.
+
+    Attributes:
+      own: This node.
+      version: Increases when a member is added, restarted or removed.
+    """
 
     def __init__(self, own: NodeRecord):
         self.own = Member(own)
         self.own.reachable = True
+        self.version = 0
         self._members: dict[ids.NodeId, Member] = {own.node_id: self.own}
+        self._ids_by_address: dict[ids.Address, ids.NodeId] = {
+            own.address: own.node_id
+        }
         self._serving_by_service: dict[ids.ServiceName, list[Member]] = {}
+        self._versions_by_service: dict[
+            ids.ServiceName, frozenset[ids.VersionName]
+        ] = {}
 
     def __iter__(self) -> Iterator[Member]:
         return iter(self._members.values())
@@ -246,6 +264,31 @@
         """Returns a member, None if it is not known."""
         return self._members.get(node_id)
 
+    def find_by_address(self, address: ids.Address) -> Member | None:
+        """Returns the member that last used an address, None if none did."""
+        node_id = self._ids_by_address.get(address)
+        member = None if node_id is None else self._members.get(node_id)
+        if member is None or member.record.address != address:
+            return None
+        return member
+
+    def find_by_record(self, fields: Any) -> Member | None:
+        """Returns the member whose record encodes to the given fields.
+
+        Spares the decoding of a record that is known already.
+        """
+        if not isinstance(fields, list) or not fields:
+            return None
+        node_id = fields[0]
+        member = (
+            self._members.get(ids.NodeId(node_id))
+            if isinstance(node_id, str)
+            else None
+        )
+        if member is None or member.record.encode() != fields:
+            return None
+        return member
+
     def list_others(self) -> list[Member]:
         """Returns all members but this node."""
         return [m for m in self._members.values() if m is not self.own]
@@ -260,16 +303,25 @@
         if known is None:
             member = Member(record)
             self._members[record.node_id] = member
+            self._ids_by_address[record.address] = record.node_id
+            self.version += 1
             return member
         if known is self.own or record.incarnation <= known.record.incarnation:
             return None
         known.reset(record)
+        self._ids_by_address[record.address] = record.node_id
+        self.version += 1
         self.rebuild_service_index()
         return known
 
     def remove(self, node_id: ids.NodeId) -> None:
         """Removes a member."""
-        self._members.pop(node_id, None)
+        member = self._members.pop(node_id, None)
+        if member is None:
+            return
+        if self._ids_by_address.get(member.record.address) == node_id:
+            del self._ids_by_address[member.record.address]
+        self.version += 1
         self.rebuild_service_index()
 
     def rebuild_service_index(self) -> None:
@@ -283,15 +335,21 @@
             ):
                 services.setdefault(endpoint.service, []).append(member)
         self._serving_by_service = services
+        self._versions_by_service = {
+            service: frozenset(
+                member.endpoint.version
+                for member in serving
+                if member.endpoint is not None
+            )
+            for service, serving in services.items()
+        }
 
     def list_serving(self, service: ids.ServiceName) -> list[Member]:
         """Returns the members with a serving backend server of a service."""
         return self._serving_by_service.get(service, [])
 
-    def list_versions(self, service: ids.ServiceName) -> set[ids.VersionName]:
+    def list_versions(
+        self, service: ids.ServiceName
+    ) -> frozenset[ids.VersionName]:
         """Returns the versions with a serving backend server of a service."""
-        return {
-            member.endpoint.version
-            for member in self.list_serving(service)
-            if member.endpoint is not None
-        }
+        return self._versions_by_service.get(service, frozenset())
--- a/src/lycheestair/sidecar/replica.py
+++ b/src/lycheestair/sidecar/replica.py
@@ -7,19 +7,20 @@
 
 from lycheestair import ids
 from lycheestair.sidecar import catalog as catalog_lib
+from lycheestair.sidecar import cells as cells_lib
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import digests as digests_lib
 from lycheestair.sidecar import event_log
 from lycheestair.sidecar import frames
 from lycheestair.sidecar import links as links_lib
 from lycheestair.sidecar import members
-from lycheestair.sidecar import regions as regions_lib
 
 # A newer configuration at another node is requested after this delay, unless it
 # arrives earlier. Also the minimum interval between requests.
 FETCH_DELAY_S: Final = 0.15
 # Nodes that are not relays wait this long before they request a configuration
-# from another region, because a relay usually forwards it.
-CROSS_REGION_FETCH_DELAY_S: Final = 0.8
+# from another cell, because a relay usually forwards it.
+CROSS_CELL_FETCH_DELAY_S: Final = 0.8
 # Number of previous configurations kept. A node that has one of them needs only
 # the change from it instead of the whole configuration.
 MAX_PREVIOUS_CATALOGS: Final = 8
@@ -36,7 +37,8 @@
         self,
         table: members.MemberTable,
         links: Mapping[ids.NodeId, links_lib.PeerLink],
-        regions: regions_lib.RegionExchange,
+        cells: cells_lib.CellMap,
+        digests: digests_lib.DigestExchange,
         list_feeders: Callable[[], list[members.Member]],
         log: event_log.EventLog,
     ):
@@ -45,14 +47,16 @@
         Args:
           table: All known nodes.
           links: Links to the other nodes; the owner adds and removes entries.
-          regions: Determines which nodes are relays or in this node's region.
+          cells: Cells of the nodes.
+          digests: Determines which nodes are relays.
           list_feeders: Returns the nodes that watch the store.
           log: Log of this node.
         """
         self.catalog = catalog_lib.EMPTY
         self._table = table
         self._links = links
-        self._regions = regions
+        self._cells = cells
+        self._digests = digests
         self._list_feeders = list_feeders
         self._log = log
         self._previous_catalogs: dict[ids.Generation, catalog_lib.Catalog] = {}
@@ -99,20 +103,16 @@
                 )
 
     def publish(self) -> None:
-        """Sends the configuration in force to this region and all others.
+        """Sends the configuration in force to this cell and all others.
 
-        In each other region, a relay receives it and forwards it.
+        In each other cell, a relay receives it and forwards it.
         """
-        self._send_to_links(self._regions.list_links_to_other_regions())
-        self.publish_in_region()
-
-    def publish_in_region(self) -> None:
-        """Sends the configuration in force to this node's region."""
-        self._send_to_links(
-            link
-            for link in self._links.values()
-            if self._regions.is_in_own_region(link.member)
-        )
+        self._send_to_links(self._digests.list_links_to_other_cells())
+        self.publish_in_cell()
+
+    def publish_in_cell(self) -> None:
+        """Sends the configuration in force to this node's cell."""
+        self._send_to_links(self._digests.list_links_in_own_cell())
 
     def _send_to_links(self, targets: Iterable[links_lib.PeerLink]) -> None:
         encoded: dict[ids.Generation, bytes] = {}
@@ -176,8 +176,8 @@
         try:
             if self.activate(catalog_lib.apply_change(old, change)):
                 self._acknowledge_to_feeders()
-                if not self._regions.is_in_own_region(member):
-                    self.publish_in_region()
+                if not self._cells.is_in_own_cell(member):
+                    self.publish_in_cell()
         except catalog_lib.CatalogError as error:
             self._log.write(
                 "configuration refused",
@@ -207,8 +207,10 @@
         """Requests a newer configuration that has not arrived in time."""
         newer_members = [
             member
-            for member in self._table.list_others()
-            if member.reachable and member.generation > self.catalog.generation
+            for member in self._table
+            if member.generation > self.catalog.generation
+            and member.reachable
+            and member is not self._table.own
         ]
         if not newer_members:
             self._newer_known_since = 0.0
@@ -217,15 +219,15 @@
             self._newer_known_since = now
         best_source = max(
             newer_members,
-            key=lambda m: (self._regions.is_in_own_region(m), m.generation),
+            key=lambda m: (self._cells.is_in_own_cell(m), m.generation),
         )
-        # A relay usually requests a configuration from another region and
-        # forwards it, so that other nodes needn't.
+        # A relay usually requests a configuration from another cell and forwards
+        # it, so that other nodes needn't.
         delay_s = (
             FETCH_DELAY_S
-            if self._regions.is_in_own_region(best_source)
-            or self._regions.find_relay_rank() is not None
-            else CROSS_REGION_FETCH_DELAY_S
+            if self._cells.is_in_own_cell(best_source)
+            or self._digests.find_relay_rank() is not None
+            else CROSS_CELL_FETCH_DELAY_S
         )
         if now - self._newer_known_since > delay_s:
             self.fetch(best_source)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -75,7 +75,7 @@
         return SETTINGS.format(
             name=self.name,
             zone=self.zone,
-            region="north" if self.zone == "a1" else "south",
+            region="north" if self.zone.startswith("a") else "south",
             application=self.backend_server.address,
             service=self.service,
             outbound=self.outbound,
