--- a/src/lycheestair/sidecar/balancer.py
+++ b/src/lycheestair/sidecar/balancer.py
@@ -1,5 +1,13 @@
-"""Selection of the backend server for the next attempt of a call."""
+"""Selection of the backend server for the next attempt of a call.
 
+Answers two loads: a service with many backend servers, of which only some are
+examined for each attempt, and overload, in which many nodes with reports of
+different ages must not all select the same server.
+"""
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import itertools
 import random
 from typing import Final
 
@@ -26,13 +34,22 @@
 # Subtracted for a member of the same region to which this node has not sent a
 # request yet.
 UNTRIED_MEMBER_BONUS_MS: Final = 100.0
+# If the failure domain has this many backend servers of the service, the nodes
+# there try new ones, so that nodes of other domains needn't.
+MIN_SERVERS_FOR_LOCAL_TRIAL: Final = 4
 # Candidates whose costs differ by less than this are tied. A random one of them
 # is selected, so that nodes do not all select the same backend server.
 TIE_MARGIN_MS: Final = 5.0
+# Candidates that are examined in each tier, beginning at a random one.
+MAX_EXAMINED: Final = 32
 
 
 class Balancer:
-    """Selects backend servers by version, expected latency and distance."""
+    """Selects backend servers by version, expected latency and distance.
+
+    The candidates form tiers by distance. A tier is examined only if a server
+    there could cost less than the best one found so far.
+    """
 
     def __init__(
         self,
@@ -51,21 +68,14 @@
 
         Also sets `call.instance` to the backend server of the member.
         """
-        by_version: dict[ids.VersionName, list[members.Member]] = {}
-        for member in self._table.list_serving(call.service):
-            if (
-                member.endpoint is not None
-                and member.reachable
-                and (not member.leaving or member is self._table.own)
-            ):
-                by_version.setdefault(member.endpoint.version, []).append(
-                    member
-                )
         shares = self._planner.compute_shares(
-            call.service,
-            self._table.list_versions(call.service),
+            call.service, self._table.list_versions(call.service)
         )
-        allowed = {v: shares[v] for v in by_version if shares.get(v)}
+        allowed = {
+            version: share
+            for version, share in shares.items()
+            if share and any(self._iterate_usable(call.service, version))
+        }
         if not allowed:
             return None
         selected = _choose_weighted(allowed)
@@ -75,33 +85,79 @@
         for version in sorted(
             allowed, key=lambda v: (v != selected, -allowed[v])
         ):
-            candidates = [
-                member
-                for member in by_version[version]
-                if member.record.node_id not in excluded
-            ]
-            if candidates and allowed[version] >= allowed[selected]:
-                return self._choose_cheapest(call, candidates)
+            if allowed[version] < allowed[selected]:
+                continue
+            member = self._choose_cheapest(call, version, excluded)
+            if member is not None:
+                return member
         return None
 
+    def _iterate_usable(
+        self, service: ids.ServiceName, version: ids.VersionName
+    ) -> Iterator[members.Member]:
+        return (
+            member
+            for member in self._table.list_serving(service, version)
+            if self._is_usable(member)
+        )
+
+    def _is_usable(self, member: members.Member) -> bool:
+        return member.reachable and (
+            not member.leaving or member is self._table.own
+        )
+
     def _choose_cheapest(
-        self, call: calls.Call, candidates: list[members.Member]
-    ) -> members.Member:
+        self,
+        call: calls.Call,
+        version: ids.VersionName,
+        excluded: set[ids.NodeId],
+    ) -> members.Member | None:
+        tiers = self._table.list_serving_by_distance(call.service, version)
+        tries_remote = len(tiers[0]) < MIN_SERVERS_FOR_LOCAL_TRIAL
         best: list[members.Member] = []
         min_cost_ms = 0.0
-        for member in candidates:
-            cost_ms = self._estimate_cost_ms(member, len(call.body))
-            if not best or cost_ms < min_cost_ms - TIE_MARGIN_MS:
-                best, min_cost_ms = [member], cost_ms
-            elif cost_ms < min_cost_ms + TIE_MARGIN_MS:
-                best.append(member)
+        # The lowest cost of a member of each tier.
+        bounds_ms = (
+            -UNTRIED_MEMBER_BONUS_MS,
+            -UNTRIED_MEMBER_BONUS_MS
+            if tries_remote
+            else FAILURE_DOMAIN_COST_MS,
+            REGION_COST_MS + REGION_ROUND_TRIP_MS,
+        )
+        for tier, bound_ms in zip(tiers, bounds_ms, strict=True):
+            if best and min_cost_ms + TIE_MARGIN_MS <= bound_ms:
+                break
+            for member in self._select_examined(tier, excluded):
+                cost_ms = self._estimate_cost_ms(
+                    member, len(call.body), tries_remote
+                )
+                if not best or cost_ms < min_cost_ms - TIE_MARGIN_MS:
+                    best, min_cost_ms = [member], cost_ms
+                elif cost_ms < min_cost_ms + TIE_MARGIN_MS:
+                    best.append(member)
+        if not best:
+            return None
         member = random.choice(best)
         assert member.endpoint is not None
         call.instance = member.endpoint.instance
         return member
 
+    def _select_examined(
+        self, tier: Sequence[members.Member], excluded: set[ids.NodeId]
+    ) -> Iterator[members.Member]:
+        start = random.randrange(len(tier)) if len(tier) > MAX_EXAMINED else 0
+        return itertools.islice(
+            (
+                member
+                for member in itertools.chain(tier[start:], tier[:start])
+                if self._is_usable(member)
+                and member.record.node_id not in excluded
+            ),
+            MAX_EXAMINED,
+        )
+
     def _estimate_cost_ms(
-        self, member: members.Member, body_bytes: int
+        self, member: members.Member, body_bytes: int, tries_remote: bool
     ) -> float:
         """Returns the cost of sending a request to a member.
 
@@ -120,12 +176,18 @@
             cost_ms += queued * service_time_ms / slots
         cost_ms += member.failure_rate * FAILURE_COST_MS
         cost_ms += member.ping_overdue * UNRESPONSIVE_COST_MS
-        settings = self._settings
         if member is self._table.own:
             return cost_ms
-        if not member.was_tried and member.record.region == settings.region:
-            # Prefers a backend server that this node has not tried yet.
+        settings = self._settings
+        is_local = member.record.failure_domain == settings.failure_domain
+        if (
+            not member.was_tried
+            and member.record.region == settings.region
+            and (is_local or tries_remote)
+        ):
             return cost_ms - UNTRIED_MEMBER_BONUS_MS
+        if is_local:
+            return cost_ms
         if member.record.region != settings.region:
             return (
                 cost_ms
@@ -133,9 +195,7 @@
                 + REGION_ROUND_TRIP_MS
                 + body_bytes * REGION_COST_MS_PER_BYTE
             )
-        if member.record.failure_domain != settings.failure_domain:
-            return cost_ms + FAILURE_DOMAIN_COST_MS
-        return cost_ms
+        return cost_ms + FAILURE_DOMAIN_COST_MS
 
 
 def _choose_weighted(
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -1,5 +1,6 @@
 """Table of the known nodes and their backend servers."""
 
+from collections.abc import Collection
 from collections.abc import Iterator
 import dataclasses
 from typing import Any
@@ -233,6 +234,22 @@
         return max(self._failures.read(), self.load.failed_percent / 100)
 
 
+@dataclasses.dataclass(slots=True)
+class ServingMembers:
+    """Members with a serving backend server of one service and version.
+
+    Attributes:
+      all: All of them.
+      by_distance: Those of this node's failure domain, the others of its region,
+        and the others.
+    """
+
+    all: list[Member] = dataclasses.field(default_factory=list)
+    by_distance: tuple[list[Member], list[Member], list[Member]] = (
+        dataclasses.field(default_factory=lambda: ([], [], []))
+    )
+
+
 class MemberTable:
     """All known nodes, including this one.
 
@@ -249,9 +266,8 @@
         self._ids_by_address: dict[ids.Address, ids.NodeId] = {
             own.address: own.node_id
         }
-        self._serving_by_service: dict[ids.ServiceName, list[Member]] = {}
-        self._versions_by_service: dict[
-            ids.ServiceName, frozenset[ids.VersionName]
+        self._serving: dict[
+            ids.ServiceName, dict[ids.VersionName, ServingMembers]
         ] = {}
 
     def __iter__(self) -> Iterator[Member]:
@@ -326,30 +342,44 @@
 
     def rebuild_service_index(self) -> None:
         """Rebuilds the index by service; required after endpoint changes."""
-        services: dict[ids.ServiceName, list[Member]] = {}
+        self._serving = {}
+        own = self.own.record
         for member in self._members.values():
             endpoint = member.endpoint
             if (
-                endpoint is not None
-                and endpoint.state is backend.BackendState.SERVING
+                endpoint is None
+                or endpoint.state is not backend.BackendState.SERVING
             ):
-                services.setdefault(endpoint.service, []).append(member)
-        self._serving_by_service = services
-        self._versions_by_service = {
-            service: frozenset(
-                member.endpoint.version
-                for member in serving
-                if member.endpoint is not None
+                continue
+            serving = self._serving.setdefault(endpoint.service, {}).setdefault(
+                endpoint.version, ServingMembers()
             )
-            for service, serving in services.items()
-        }
-
-    def list_serving(self, service: ids.ServiceName) -> list[Member]:
-        """Returns the members with a serving backend server of a service."""
-        return self._serving_by_service.get(service, [])
+            serving.all.append(member)
+            if member.record.region != own.region:
+                distance = 2
+            else:
+                distance = member.record.failure_domain != own.failure_domain
+            serving.by_distance[distance].append(member)
+
+    def list_serving(
+        self, service: ids.ServiceName, version: ids.VersionName
+    ) -> list[Member]:
+        """Returns the members that serve a version of a service."""
+        found = self._serving.get(service, {}).get(version)
+        return found.all if found else []
+
+    def list_serving_by_distance(
+        self, service: ids.ServiceName, version: ids.VersionName
+    ) -> tuple[list[Member], list[Member], list[Member]]:
+        """Returns the members that serve a version, in tiers by distance.
+
+        The tiers are this node's failure domain, its region and the rest.
+        """
+        found = self._serving.get(service, {}).get(version)
+        return found.by_distance if found else ([], [], [])
 
     def list_versions(
         self, service: ids.ServiceName
-    ) -> frozenset[ids.VersionName]:
+    ) -> Collection[ids.VersionName]:
         """Returns the versions with a serving backend server of a service."""
-        return self._versions_by_service.get(service, frozenset())
+        return self._serving.get(service, {}).keys()
--- a/tests/test_platform_balancer.py
+++ b/tests/test_platform_balancer.py
@@ -93,3 +93,89 @@
         balancer.choose(make_call(), set()).record.node_id for _ in range(50)
     }
     assert names == chosen
+
+
+def make_large_fleet(servers, domains=9):
+    """Returns a table and a balancer of a service in many domains."""
+    table = members.MemberTable(make_record("own"))
+    for number in range(servers):
+        domain = number % domains
+        region = ("north", "south", "west")[domain % 3]
+        record = members.NodeRecord(
+            f"n{number}",
+            f"n{number}:1",
+            "a1" if domain == 0 else f"d{domain}",
+            region,
+            1,
+        )
+        member = table.add(record)
+        member.reachable = True
+        member.endpoint = members.Endpoint(
+            f"i{number}", "desk", "v1", 3, members.backend.BackendState.SERVING
+        )
+        member.report_load(0, 0, 290, 0)
+    table.rebuild_service_index()
+    settings = types.SimpleNamespace(region="north", failure_domain="a1")
+    planner = FakePlanner({"v1": 1.0})
+    return table, balancer_lib.Balancer(settings, table, planner)
+
+
+@pytest.mark.parametrize("waiting", [0, 6])
+@pytest.mark.parametrize("servers", [148, 740, 2960])
+def test_examined_candidates_do_not_grow_with_the_service(
+    servers, waiting, monkeypatch
+):
+    """Guards against a cost of each attempt that grows with the fleet."""
+    table, balancer = make_large_fleet(servers)
+    for member in table.list_others():
+        member.was_tried = True
+        member.report_load(3, waiting, 290, 0)
+    examined = []
+    estimate = balancer._estimate_cost_ms
+
+    def count(member, *arguments):
+        examined.append(member)
+        return estimate(member, *arguments)
+
+    monkeypatch.setattr(balancer, "_estimate_cost_ms", count)
+    assert balancer.choose(make_call(), set()) is not None
+    assert len(examined) <= 3 * balancer_lib.MAX_EXAMINED
+
+
+def test_servers_of_other_domains_are_not_examined_while_local_ones_are_idle():
+    """Guards against cross-domain traffic to servers that are only untried."""
+    table, balancer = make_large_fleet(148)
+    for _ in range(300):
+        member = balancer.choose(make_call(), set())
+        assert member.record.failure_domain == "a1"
+        member.was_tried = True
+
+
+def test_untried_server_in_the_local_domain_is_tried_first():
+    """Guards against servers that joined and get no requests."""
+    table, balancer = make_large_fleet(148)
+    for member in table.list_others():
+        member.was_tried = True
+    joined = table.find("n9")
+    assert joined.record.failure_domain == "a1"
+    joined.was_tried = False
+    assert balancer.choose(make_call(), set()) is joined
+
+
+def test_requests_spread_over_other_domains_when_local_servers_are_full():
+    """Guards against nodes that all select the server with the lowest report.
+
+    Reports from other domains are a second old, so that a server that looks
+    idle to all nodes gets the requests of all of them.
+    """
+    chosen = set()
+    for _ in range(40):
+        table, balancer = make_large_fleet(148)
+        for member in table.list_others():
+            member.was_tried = True
+            is_local = member.record.failure_domain == "a1"
+            member.report_load(3, 9 if is_local else 0, 290, 0)
+        member = balancer.choose(make_call(), set())
+        assert member.record.region == "north"
+        chosen.add(member.record.node_id)
+    assert len(chosen) > 10
--- a/tests/test_platform_splits.py
+++ b/tests/test_platform_splits.py
@@ -172,7 +172,7 @@
                 press.backend_server.state = "draining"
                 await press.backend_server.announce()
                 await platform_world.wait_for(
-                    lambda: not first.node._table.list_serving("press")
+                    lambda: not first.node._table.list_serving("press", "v1")
                 )
             else:
                 press.backend_server.handler_override = refuse
