--- a/src/lycheestair/errors.py
+++ b/src/lycheestair/errors.py
@@ -22,6 +22,7 @@
     NOT_READY = "not_ready"
     NO_ENDPOINT = "no_endpoint"
     OVERLOADED = "overloaded"
+    LONG_QUEUE = "long_queue"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DEPTH_EXCEEDED = "depth_exceeded"
     DRAINING = "draining"
@@ -80,6 +81,9 @@
     ErrorKind.OVERLOADED: ErrorResponse(
         503, _NOT_RUN, True, "all slots and queues are full"
     ),
+    ErrorKind.LONG_QUEUE: ErrorResponse(
+        503, _NOT_RUN, True, "backend server has a longer queue than others"
+    ),
     ErrorKind.DEADLINE_TOO_SHORT: ErrorResponse(
         504, _NOT_RUN, False, "deadline cannot be met"
     ),
--- a/src/lycheestair/sidecar/admission.py
+++ b/src/lycheestair/sidecar/admission.py
@@ -9,18 +9,12 @@
 from lycheestair import errors
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import queueing
 
 # Initial value of the moving average of the service time.
 INITIAL_SERVICE_TIME_S: Final = 0.15
 # Weight of the latest request in the moving average of the service time.
 SERVICE_TIME_WEIGHT: Final = 0.1
-# Fraction of the remaining time that a request may spend in the queue if it
-# can't meet its latency objective. A late response is worth less than a timely
-# one, but more than a refusal.
-LATE_WAIT_RATIO: Final = 0.3
-# Minimum time that a request may queue if it can still meet its objective, so
-# that small load variations don't cause refusals.
-MIN_QUEUE_TIME_S: Final = 0.03
 MIN_RETRY_AFTER_S: Final = 0.1
 MAX_RETRY_AFTER_S: Final = 1.0
 
@@ -117,22 +111,24 @@
             self._assign_slot(id(call))
             return None
         slack_s = call.objective - now - self.service_time_s
-        late = slack_s < 0
-        remaining_s = call.deadline - now
-        limit_s = (
-            remaining_s * LATE_WAIT_RATIO
-            if late
-            else max(MIN_QUEUE_TIME_S, slack_s)
+        arrival = queueing.Arrival(
+            self.predict_wait_s(call.priority, slack_s < 0),
+            slack_s,
+            call.deadline - now,
+            call.max_wait_s,
         )
-        wait_s = self.predict_wait_s(call.priority, late)
-        if wait_s > limit_s:
-            return self._make_refusal(wait_s)
-        # Calls of a higher priority may delay the call beyond its objective,
-        # but not until its client has timed out.
-        latest_start = now + max(limit_s, remaining_s * LATE_WAIT_RATIO)
+        decision = queueing.decide(arrival)
+        if decision is queueing.Decision.TRY_ANOTHER:
+            return calls.Refusal(
+                errors.ErrorKind.LONG_QUEUE,
+                f"{arrival.wait_s * 1000:.0f} ms expected",
+            )
+        if decision is queueing.Decision.REFUSE:
+            return self._make_refusal(arrival.wait_s)
+        latest_start = now + arrival.max_queue_time_s
         waiter = _Waiter(
             call.priority,
-            late,
+            arrival.late,
             next(self._sequence_numbers),
             latest_start,
             asyncio.get_running_loop().create_future(),
@@ -147,7 +143,7 @@
             else:
                 self._waiters.remove(waiter)
                 return self._make_refusal(
-                    self.predict_wait_s(call.priority, late)
+                    self.predict_wait_s(call.priority, arrival.late)
                 )
         except asyncio.CancelledError:
             if not waiter.outcome.done():
--- a/src/lycheestair/sidecar/balancer.py
+++ b/src/lycheestair/sidecar/balancer.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import itertools
+import math
 import random
 from typing import Final
 
@@ -42,6 +43,9 @@
 TIE_MARGIN_MS: Final = 5.0
 # Candidates that are examined in each tier, beginning at a random one.
 MAX_EXAMINED: Final = 32
+# Least time in the queue that a call accepts. Shorter waits don't justify another
+# attempt.
+MIN_WAIT_LIMIT_MS: Final = 30.0
 
 
 class Balancer:
@@ -66,7 +70,10 @@
     ) -> members.Member | None:
         """Returns the member for the next attempt, or None if none is left.
 
-        Also sets `call.instance` to the backend server of the member.
+        Also sets `call.instance` to the backend server of the member, and
+        `call.max_wait_s` to the time in its queue for which it is still expected
+        to be the best one. Load reports are old when they are used, so that the
+        member may find a longer queue.
         """
         shares = self._planner.compute_shares(
             call.service, self._table.list_versions(call.service)
@@ -115,7 +122,7 @@
         tiers = self._table.list_serving_by_distance(call.service, version)
         tries_remote = len(tiers[0]) < MIN_SERVERS_FOR_LOCAL_TRIAL
         best: list[members.Member] = []
-        min_cost_ms = 0.0
+        min_cost_ms = next_cost_ms = math.inf
         # The lowest cost of a member of each tier.
         bounds_ms = (
             -UNTRIED_MEMBER_BONUS_MS,
@@ -125,21 +132,32 @@
             REGION_COST_MS + REGION_ROUND_TRIP_MS,
         )
         for tier, bound_ms in zip(tiers, bounds_ms, strict=True):
-            if best and min_cost_ms + TIE_MARGIN_MS <= bound_ms:
+            if min_cost_ms + TIE_MARGIN_MS <= bound_ms:
+                next_cost_ms = min(next_cost_ms, bound_ms)
                 break
             for member in self._select_examined(tier, excluded):
                 cost_ms = self._estimate_cost_ms(
                     member, len(call.body), tries_remote
                 )
-                if not best or cost_ms < min_cost_ms - TIE_MARGIN_MS:
+                if cost_ms < min_cost_ms - TIE_MARGIN_MS:
+                    next_cost_ms = min_cost_ms
                     best, min_cost_ms = [member], cost_ms
                 elif cost_ms < min_cost_ms + TIE_MARGIN_MS:
                     best.append(member)
+                else:
+                    next_cost_ms = min(next_cost_ms, cost_ms)
         if not best:
             return None
+        if len(best) > 1:
+            next_cost_ms = min_cost_ms
         member = random.choice(best)
         assert member.endpoint is not None
         call.instance = member.endpoint.instance
+        call.max_wait_s = None
+        if next_cost_ms < math.inf:
+            queue_time_ms = _estimate_queue_time_ms(member)
+            max_queue_time_ms = next_cost_ms - min_cost_ms + queue_time_ms
+            call.max_wait_s = max(MIN_WAIT_LIMIT_MS, max_queue_time_ms) / 1000
         return member
 
     def _select_examined(
@@ -164,16 +182,8 @@
         The cost is the expected latency plus penalties for distance and
         failures, in milliseconds.
         """
-        endpoint = member.endpoint
-        assert endpoint is not None
-        # The service time is 0 until the member reports its load. The default
-        # is that of a new Admission, INITIAL_SERVICE_TIME_S.
-        service_time_ms = member.load.service_time_ms or 150.0
-        slots = max(1, endpoint.slots)
-        queued = member.outstanding + 1 - slots
-        cost_ms = service_time_ms * SERVICE_TIME_COST_RATIO
-        if queued > 0:
-            cost_ms += queued * service_time_ms / slots
+        cost_ms = _get_service_time_ms(member) * SERVICE_TIME_COST_RATIO
+        cost_ms += _estimate_queue_time_ms(member)
         cost_ms += member.failure_rate * FAILURE_COST_MS
         cost_ms += member.ping_overdue * UNRESPONSIVE_COST_MS
         if member is self._table.own:
@@ -198,6 +208,21 @@
         return cost_ms + FAILURE_DOMAIN_COST_MS
 
 
+def _get_service_time_ms(member: members.Member) -> float:
+    # The service time is 0 until the member reports its load. The default is
+    # that of a new Admission, INITIAL_SERVICE_TIME_S.
+    return member.load.service_time_ms or 150.0
+
+
+def _estimate_queue_time_ms(member: members.Member) -> float:
+    assert member.endpoint is not None
+    slots = max(1, member.endpoint.slots)
+    queued = member.outstanding + 1 - slots
+    if queued <= 0:
+        return 0.0
+    return queued * _get_service_time_ms(member) / slots
+
+
 def _choose_weighted(
     shares: dict[ids.VersionName, float],
 ) -> ids.VersionName:
--- a/src/lycheestair/sidecar/calls.py
+++ b/src/lycheestair/sidecar/calls.py
@@ -2,13 +2,18 @@
 
 import dataclasses
 from typing import Any
+from typing import Final
 
 from lycheestair import errors
 from lycheestair import ids
 from lycheestair import messages
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import frames
 from lycheestair.sidecar import http1
 
+# Number of fields of a call from a node of protocol version 1.
+_FIELDS_WITHOUT_WAIT_LIMIT: Final = 13
+
 
 @dataclasses.dataclass(slots=True)
 class Call:
@@ -28,6 +33,8 @@
         Backend servers do not retry.
       is_retry: Whether an earlier attempt may have reached a backend server.
       caller: Service of the entry node's local backend server.
+      max_wait_s: Expected time in the queue beyond which the entry node
+        prefers another backend server; None if it accepts any.
     """
 
     request_id: bytes
@@ -46,16 +53,21 @@
     client_retries: bool = False
     own: bool = False
     is_retry: bool = False
+    max_wait_s: float | None = None
 
     @property
     def remaining_s(self) -> float:
         """Time until the deadline in seconds."""
         return self.deadline - clock.read_s()
 
-    def encode(self) -> list[Any]:
-        """Returns the fields of the call; times are relative to now."""
+    def encode(self, protocol_version: int) -> list[Any]:
+        """Returns the fields of the call; times are relative to now.
+
+        Args:
+          protocol_version: That of the serving node.
+        """
         now = clock.read_s()
-        return [
+        fields = [
             self.request_id,
             self.method,
             self.target,
@@ -70,6 +82,11 @@
             int((self.deadline - now) * 1000),
             int((self.objective - now) * 1000),
         ]
+        if protocol_version >= frames.WAIT_LIMIT_VERSION:
+            fields.append(
+                None if self.max_wait_s is None else int(self.max_wait_s * 1000)
+            )
+        return fields
 
 
 def decode_call(fields: list[Any]) -> Call:
@@ -79,11 +96,16 @@
       ValueError: The fields are malformed.
     """
     try:
+        max_wait_milliseconds = None
+        if len(fields) > _FIELDS_WITHOUT_WAIT_LIMIT:
+            *fields, max_wait_milliseconds = fields
         *values, is_retry, deadline_ms, objective_ms = fields
         now = clock.read_s()
         values += [now + deadline_ms / 1000, now + objective_ms / 1000]
         call = Call(*values)
         call.is_retry = bool(is_retry)
+        if max_wait_milliseconds is not None:
+            call.max_wait_s = max_wait_milliseconds / 1000
         call.headers = [(name, value) for name, value in call.headers]
         return call
     except TypeError as error:
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -33,6 +33,9 @@
 # Overloaded nodes tried for one request. The nearest and least loaded nodes are
 # tried first, so a third one is unlikely to have capacity.
 MAX_OVERLOADED_NODES: Final = 2
+# Nodes that may send a request back because another one seems to have a shorter
+# queue. After that, the request joins the queue that seems shortest.
+MAX_LONG_QUEUES: Final = 3
 # Clients with a longer timeout than this retry by themselves, which does not
 # consume the retry budget. The budget is reserved for calls made by backend
 # servers and for clients that have already retried.
@@ -343,18 +346,29 @@
         """
         retry_budget = self._budgets.find(call.service)
         retry_budget.record_request(call.own)
-        reached_count = overloaded_count = 0
+        reached_count = overloaded_count = long_queue_count = 0
         outcome: calls.Outcome = calls.Refusal(errors.ErrorKind.NO_ENDPOINT)
         any_possibly_executed = False
         excluded: set[ids.NodeId] = set()
-        while len(tried) < MAX_NODES_TRIED:
+        while len(tried) - long_queue_count < MAX_NODES_TRIED:
+            self._table.own.report_load(*self._serving_node.read_load())
             member = self._balancer.choose(call, excluded)
             if member is None or call.remaining_s <= 0:
                 break
+            if long_queue_count >= MAX_LONG_QUEUES:
+                call.max_wait_s = None
             node_id = member.record.node_id
             tried.append(node_id)
-            excluded.add(node_id)
             latest = await self._send(call, member)
+            if (
+                isinstance(latest, calls.Refusal)
+                and latest.kind is errors.ErrorKind.LONG_QUEUE
+            ):
+                # The node stays a candidate: its queue is known now.
+                long_queue_count += 1
+                outcome = outcome if any_possibly_executed else latest
+                continue
+            excluded.add(node_id)
             possibly_executed = (
                 isinstance(latest, http1.Response) or not latest.not_executed
             )
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -228,6 +228,7 @@
                 frames.FrameType.HELLO,
                 self._table.own.record.encode(),
                 self._encode_status(),
+                frames.PROTOCOL_VERSION,
             ]
         ]
 
--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -126,6 +126,7 @@
         self._pending: dict[int, _PendingCall] = {}
         self._stream: streams.Stream | None = None
         self._incarnation = 0
+        self._protocol_version = 1
         self._received_at = 0.0
         self._pinged_at = 0.0
         self._task: asyncio.Task[None] | None = None
@@ -185,7 +186,7 @@
             await self._connect_on_demand(call)
         number = next(_CALL_NUMBERS)
         pending = _PendingCall(call)
-        if not self.send([frames.FrameType.REQUEST, number, call.encode()]):
+        if not self._send_call(number, call):
             return calls.Refusal(errors.ErrorKind.CONNECT_FAILED)
         self._pending[number] = pending
         self.member.in_flight += 1
@@ -202,6 +203,10 @@
             self.member.in_flight -= 1
             self._pending.pop(number, None)
 
+    def _send_call(self, number: int, call: calls.Call) -> bool:
+        fields = call.encode(self._protocol_version)
+        return self.send([frames.FrameType.REQUEST, number, fields])
+
     async def _connect_on_demand(self, call: calls.Call) -> None:
         """Connects if necessary and waits for the attempt to end."""
         self.request_connection()
@@ -332,6 +337,7 @@
         if self._incarnation and record.incarnation != self._incarnation:
             self._fail_pending(lambda _: True)
         self._incarnation = record.incarnation
+        self._protocol_version = hello[3] if len(hello) > 3 else 1
         self._received_at = clock.read_s()
         self._pinged_at = 0.0
         self._stream = stream
@@ -340,7 +346,7 @@
         self._set_reachable(True)
         self._attempt_finished.set()
         for number, pending in list(self._pending.items()):
-            self.send([frames.FrameType.REQUEST, number, pending.call.encode()])
+            self._send_call(number, pending.call)
         while True:
             frame = await frames.read(stream)
             self._received_at = self.member.last_frame_at = clock.read_s()
--- /dev/null
+++ b/src/lycheestair/sidecar/queueing.py
@@ -0,0 +1,74 @@
+"""Decides whether a call joins the queue of a backend server without free slots.
+
+Answers two loads. When servers are busy but the service is not, a call is sent
+back as soon as its entry node would find a shorter queue elsewhere. When the
+whole service is overloaded, a call is refused at once unless it can still be
+answered in time, or late but soon enough for its client.
+"""
+
+import dataclasses
+import enum
+from typing import Final
+
+# Fraction of the remaining time that a request may spend in the queue if it
+# can't meet its latency objective. A late response is worth less than a timely
+# one, but more than a refusal.
+LATE_WAIT_RATIO: Final = 0.3
+# Minimum time that a request may queue if it can still meet its objective, so
+# that small load variations don't cause refusals.
+MIN_QUEUE_TIME_S: Final = 0.03
+
+
+class Decision(enum.Enum):
+    """What happens to a call that finds no free slot."""
+
+    QUEUE = "queue"
+    # Another backend server is expected to be faster.
+    TRY_ANOTHER = "try another"
+    REFUSE = "refuse"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A call that finds no free slot; times are in seconds.
+
+    Attributes:
+      wait_s: Expected time until it gets a slot.
+      slack_s: Time that it may wait and still meet its latency objective,
+        negative if it can't meet it.
+      remaining_s: Time until its deadline.
+      max_wait_s: Expected wait beyond which its entry node prefers another
+        server, None if there is none.
+    """
+
+    wait_s: float
+    slack_s: float
+    remaining_s: float
+    max_wait_s: float | None = None
+
+    @property
+    def late(self) -> bool:
+        """Whether it can't meet its latency objective."""
+        return self.slack_s < 0
+
+    @property
+    def max_queue_time_s(self) -> float:
+        """Time in the queue after which the call is refused."""
+        late_limit_s = self.remaining_s * LATE_WAIT_RATIO
+        if self.late:
+            return late_limit_s
+        # Calls of a higher priority may delay the call beyond its objective,
+        # but not until its client has timed out.
+        return max(MIN_QUEUE_TIME_S, self.slack_s, late_limit_s)
+
+
+def decide(arrival: Arrival) -> Decision:
+    """Decides whether a call waits for a slot."""
+    if arrival.max_wait_s is not None and arrival.wait_s > arrival.max_wait_s:
+        return Decision.TRY_ANOTHER
+    limit_s = (
+        arrival.max_queue_time_s
+        if arrival.late
+        else max(MIN_QUEUE_TIME_S, arrival.slack_s)
+    )
+    return Decision.REFUSE if arrival.wait_s > limit_s else Decision.QUEUE
