--- a/src/lycheestair/sidecar/admission.py
+++ b/src/lycheestair/sidecar/admission.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import bisect
+import collections
 import dataclasses
 import itertools
 from typing import Final
@@ -15,6 +16,8 @@
 INITIAL_SERVICE_TIME_S: Final = 0.15
 # Weight of the latest request in the moving average of the service time.
 SERVICE_TIME_WEIGHT: Final = 0.1
+# Calls that got a slot last, from which the share of each priority is derived.
+RECENT_CALLS: Final = 32
 MIN_RETRY_AFTER_S: Final = 0.1
 MAX_RETRY_AFTER_S: Final = 1.0
 
@@ -50,6 +53,9 @@
         self._sequence_numbers = itertools.count()
         self._average_service_time_s = INITIAL_SERVICE_TIME_S
         self._start_times: dict[int, float] = {}
+        self._recent_priorities: collections.deque[int] = collections.deque(
+            maxlen=RECENT_CALLS
+        )
 
     @property
     def running(self) -> int:
@@ -95,7 +101,19 @@
         queued = self._running + ahead + 1 - self.slots
         if queued <= 0:
             return 0.0
-        return queued * self.service_time_s / max(1, self.slots)
+        return queueing.predict_wait_s(
+            queued,
+            max(1, self.slots),
+            self.service_time_s,
+            self._compute_share_before(priority),
+        )
+
+    def _compute_share_before(self, priority: int) -> float:
+        """Returns the share of recent calls that take precedence."""
+        if not self._recent_priorities:
+            return 0.0
+        preceding = sum(recent < priority for recent in self._recent_priorities)
+        return preceding / len(self._recent_priorities)
 
     async def acquire(self, call: calls.Call) -> calls.Refusal | None:
         """Waits for a slot.
@@ -108,7 +126,7 @@
             return calls.Refusal(errors.ErrorKind.DRAINING)
         now = clock.read_s()
         if not self._waiters and self._running < self.slots:
-            self._assign_slot(id(call))
+            self._assign_slot(call)
             return None
         slack_s = call.objective - now - self.service_time_s
         arrival = queueing.Arrival(
@@ -153,7 +171,7 @@
                 self._assign_free_slots()
             raise
         if refusal is None:
-            self._start_times[id(call)] = clock.read_s()
+            self._note_start(call)
         return refusal
 
     def release(self, call: calls.Call, record_duration: bool) -> None:
@@ -189,9 +207,13 @@
         """Discards the service time measured for an earlier backend server."""
         self._average_service_time_s = INITIAL_SERVICE_TIME_S
 
-    def _assign_slot(self, key: int) -> None:
+    def _assign_slot(self, call: calls.Call) -> None:
         self._running += 1
-        self._start_times[key] = clock.read_s()
+        self._note_start(call)
+
+    def _note_start(self, call: calls.Call) -> None:
+        self._start_times[id(call)] = clock.read_s()
+        self._recent_priorities.append(call.priority)
 
     def _assign_free_slots(self) -> None:
         while self._waiters and self._running < self.slots:
--- a/src/lycheestair/sidecar/queueing.py
+++ b/src/lycheestair/sidecar/queueing.py
@@ -19,6 +19,10 @@
 MIN_QUEUE_TIME_S: Final = 0.03
 
 
+# Limits the effect of preceding calls: there is some capacity left for the rest.
+MAX_PRECEDING_SHARE: Final = 0.8
+
+
 class Decision(enum.Enum):
     """What happens to a call that finds no free slot."""
 
@@ -62,6 +66,22 @@
         return max(MIN_QUEUE_TIME_S, self.slack_s, late_limit_s)
 
 
+def predict_wait_s(
+    queued: int, slots: int, service_time_s: float, preceding_share: float
+) -> float:
+    """Returns the expected time until a call gets a slot.
+
+    Args:
+      queued: Calls that get a slot before or with this one.
+      slots: Slots of the backend server.
+      service_time_s: Expected time for which a call holds a slot.
+      preceding_share: Share of the calls that take precedence. Those that
+        arrive while the call waits delay it further.
+    """
+    share = min(MAX_PRECEDING_SHARE, preceding_share)
+    return queued * service_time_s / slots / (1.0 - share)
+
+
 def decide(arrival: Arrival) -> Decision:
     """Decides whether a call waits for a slot."""
     if arrival.max_wait_s is not None and arrival.wait_s > arrival.max_wait_s:
