--- a/src/lycheestair/platform/settings.py
+++ b/src/lycheestair/platform/settings.py
@@ -66,6 +66,9 @@
         peers=ids.Address(f"{host}:{first_port + PEER_PORT_OFFSET}"),
         metrics=ids.Address(f"{host}:{first_port + METRICS_PORT_OFFSET}"),
         store=_read(fields, "platform.platform.address", ids.Address),
+        memory_bytes=int(
+            _read(fields, "self_node.limits.memory_mb", float) * 1_000_000
+        ),
         heartbeat_interval_s=_read(
             fields, "platform.heartbeat_interval_s", float
         ),
--- a/src/lycheestair/sidecar/http1.py
+++ b/src/lycheestair/sidecar/http1.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 requests and responses over asyncio streams."""
 
+from collections.abc import Callable
 import dataclasses
 from typing import Final
 
@@ -12,6 +13,8 @@
 MAX_RESPONSE_HEAD_BYTES: Final = 32_768
 MAX_RESPONSE_BODY_BYTES: Final = 67_108_864
 MAX_INTERIM_RESPONSES: Final = 8
+# Bodies are read in parts of this size, so that memory is taken as they arrive.
+MAX_PART_BYTES: Final = 65_536
 # Result of `messages.parse_body_framing` for a chunked body.
 CHUNKED: Final = -1
 
@@ -73,6 +76,10 @@
     return None
 
 
+def _take_any(count: int) -> None:
+    """Accepts any number of bytes."""
+
+
 async def read_request(
     stream: streams.Stream, max_header_bytes: int, max_body_bytes: int
 ) -> Request:
@@ -104,12 +111,22 @@
     )
 
 
-async def read_response(stream: streams.Stream, method: bytes) -> Response:
+async def read_response(
+    stream: streams.Stream,
+    method: bytes,
+    take_bytes: Callable[[int], None] = _take_any,
+) -> Response:
     """Reads a response with its complete body.
 
     A response without a length is complete when the connection is closed, but
     incomplete if it is reset.
 
+    Args:
+      stream: The connection.
+      method: Method of the request.
+      take_bytes: Called with the number of bytes of each part of the body; raises
+        BodyTooLargeError if it may not be read.
+
     Raises:
       BodyTooLargeError: The body exceeds the limit.
       IncompleteMessageError: The connection ended before the response did.
@@ -128,9 +145,11 @@
     if method == b"HEAD" or line.status in (204, 304):
         body = b""
     elif framing is None:
-        body = await _read_until_close(stream)
+        body = await _read_until_close(stream, take_bytes)
     else:
-        body = await _read_body(stream, framing, MAX_RESPONSE_BODY_BYTES)
+        body = await _read_body(
+            stream, framing, MAX_RESPONSE_BODY_BYTES, take_bytes
+        )
     connection = (head.find_header(b"connection") or b"").lower()
     # Data after the response belongs to no request, so the connection is not
     # reused.
@@ -144,11 +163,16 @@
     return Response(line.status, head.headers, body, keep_alive)
 
 
-async def _read_body(stream: streams.Stream, framing: int, limit: int) -> bytes:
+async def _read_body(
+    stream: streams.Stream,
+    framing: int,
+    limit: int,
+    take_bytes: Callable[[int], None] = _take_any,
+) -> bytes:
     if framing > limit:
         raise messages.BodyTooLargeError("body is too large")
     if framing != CHUNKED:
-        return await stream.read_exactly(framing) if framing else b""
+        return await _read_in_parts(stream, framing, take_bytes)
     chunks = []
     total_bytes = 0
     while length := messages.parse_chunk_length(
@@ -157,7 +181,7 @@
         total_bytes += length
         if total_bytes > limit:
             raise messages.BodyTooLargeError("body is too large")
-        chunks.append(await stream.read_exactly(length))
+        chunks.append(await _read_in_parts(stream, length, take_bytes))
         if await stream.read_exactly(2) != b"\r\n":
             raise messages.MalformedMessageError("malformed chunk")
     trailer_bytes = 0
@@ -170,12 +194,28 @@
     return b"".join(chunks)
 
 
-async def _read_until_close(stream: streams.Stream) -> bytes:
+async def _read_in_parts(
+    stream: streams.Stream, length: int, take_bytes: Callable[[int], None]
+) -> bytes:
+    """Reads exactly the given number of bytes."""
+    parts = []
+    while length:
+        part_bytes = min(length, MAX_PART_BYTES)
+        take_bytes(part_bytes)
+        parts.append(await stream.read_exactly(part_bytes))
+        length -= part_bytes
+    return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+async def _read_until_close(
+    stream: streams.Stream, take_bytes: Callable[[int], None]
+) -> bytes:
     parts = []
     total_bytes = 0
     try:
         while True:
             part = stream.take(stream.buffered)
+            take_bytes(len(part))
             parts.append(part)
             total_bytes += len(part)
             if total_bytes > MAX_RESPONSE_BODY_BYTES:
--- a/src/lycheestair/sidecar/peer_server.py
+++ b/src/lycheestair/sidecar/peer_server.py
@@ -43,7 +43,7 @@
 
     stream: streams.Stream | None
     number: int
-    task: "asyncio.Task[None] | None" = None
+    task: "asyncio.Task[calls.Outcome] | None" = None
     outcome: calls.Outcome | None = None
 
 
@@ -158,36 +158,45 @@
         running = _ReceivedCall(stream, key[2])
         self._calls[key] = running
         running.task = asyncio.get_running_loop().create_task(
-            self._execute(key, running, call)
+            self._serving_node.run(call)
+        )
+        # Also called for a task that is cancelled before it starts.
+        running.task.add_done_callback(
+            lambda task: self._finish(key, running, call, task)
         )
 
-    async def _execute(
-        self, key: _CallKey, running: _ReceivedCall, call: calls.Call
+    def _finish(
+        self,
+        key: _CallKey,
+        running: _ReceivedCall,
+        call: calls.Call,
+        task: "asyncio.Task[calls.Outcome]",
     ) -> None:
-        outcome: calls.Outcome = calls.Refusal(
-            errors.ErrorKind.INTERNAL, reached=True
-        )
-        try:
-            outcome = await self._serving_node.run(call)
-        except asyncio.CancelledError:
+        outcome: calls.Outcome
+        if task.cancelled():
             outcome = calls.Refusal(errors.ErrorKind.TIMEOUT, "cancelled")
-        finally:
-            running.outcome = outcome
-            self._finished_calls.append((clock.read_s(), key))
-            self._expire_outcomes()
-            if isinstance(outcome, calls.Refusal):
-                self._log.write(
-                    "call refused",
-                    id=call.request_id.decode("latin-1"),
-                    origin=key[0],
-                    route=call.route,
-                    kind=outcome.kind.value,
-                    detail=outcome.detail,
-                    reached=outcome.reached,
-                    running=self._serving_node.admission.running,
-                    waiting=self._serving_node.admission.waiting,
-                )
-            self._send_outcome(running)
+        elif (error := task.exception()) is not None:
+            outcome = calls.Refusal(
+                errors.ErrorKind.INTERNAL, repr(error), reached=True
+            )
+        else:
+            outcome = task.result()
+        running.outcome = outcome
+        self._finished_calls.append((clock.read_s(), key))
+        self._expire_outcomes()
+        if isinstance(outcome, calls.Refusal):
+            self._log.write(
+                "call refused",
+                id=call.request_id.decode("latin-1"),
+                origin=key[0],
+                route=call.route,
+                kind=outcome.kind.value,
+                detail=outcome.detail,
+                reached=outcome.reached,
+                running=self._serving_node.admission.running,
+                waiting=self._serving_node.admission.waiting,
+            )
+        self._send_outcome(running)
 
     def _send_outcome(self, running: _ReceivedCall) -> None:
         if running.stream is None or running.outcome is None:
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -12,6 +12,7 @@
 from lycheestair.sidecar import admission as admission_lib
 from lycheestair.sidecar import backend
 from lycheestair.sidecar import budget
+from lycheestair.sidecar import byte_budget
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import dependencies
@@ -31,6 +32,9 @@
 # all outcomes of its backend server and all other nodes rely on the average
 # that it reports, so the average must not be noisy.
 FAILURE_RATE_WEIGHT: Final = 0.05
+# Fraction of the memory of the process that answers may take while they are
+# read. They are copied once for the entry node and once for its client.
+ANSWER_MEMORY_RATIO: Final = 0.2
 MISDIRECTED_REQUEST_STATUS: Final = 421
 MIN_SERVER_ERROR_STATUS: Final = 500
 # Smallest deadline that is sent to the backend server. A call with less time
@@ -74,6 +78,9 @@
         # instance.
         self._deregistered_ms: dict[str, int] = {}
         self._pool = pool.ConnectionPool(settings.server_address)
+        self._answer_memory = byte_budget.ByteBudget(
+            int(settings.memory_bytes * ANSWER_MEMORY_RATIO)
+        )
 
     # Announcements.
 
@@ -270,8 +277,11 @@
             connection.stream.write(
                 self._encode_request(endpoint, call, remaining_ms)
             )
-            async with asyncio.timeout(call.remaining_s):
-                response = await self._read_response(connection.stream, call)
+            with self._answer_memory.open_account() as account:
+                async with asyncio.timeout(call.remaining_s):
+                    response = await self._read_response(
+                        connection.stream, call, account
+                    )
             keep_alive = response.keep_alive and not connection.stream.unsent
             connection.update_max_idle(response)
             return self._classify_response(response, endpoint)
@@ -306,11 +316,16 @@
             self._pool.check_in(connection)
 
     async def _read_response(
-        self, stream: streams.Stream, call: calls.Call
+        self,
+        stream: streams.Stream,
+        call: calls.Call,
+        account: byte_budget.Account,
     ) -> http1.Response:
         """Reads the response to a call, skipping those to earlier requests."""
         for _ in range(MAX_RESPONSES_READ):
-            response = await http1.read_response(stream, call.method)
+            response = await http1.read_response(
+                stream, call.method, account.take
+            )
             if (
                 response.find_header(self._headers.request_id)
                 == call.request_id
--- a/src/lycheestair/sidecar/settings.py
+++ b/src/lycheestair/sidecar/settings.py
@@ -39,6 +39,7 @@
       peers: Address of the listener for other nodes.
       metrics: Address of the listener for metrics.
       store: Address of the platform's store.
+      memory_bytes: Memory that the process may use.
       heartbeat_interval_s: Time in seconds between heartbeats of a backend
         server.
     """
@@ -54,5 +55,6 @@
     peers: ids.Address
     metrics: ids.Address
     store: ids.Address
+    memory_bytes: int
     heartbeat_interval_s: float
     bounds: Bounds
--- a/src/lycheestair/sidecar/statuses.py
+++ b/src/lycheestair/sidecar/statuses.py
@@ -85,6 +85,9 @@
 
     Returns:
       Whether the member's backend server has changed.
+
+    Raises:
+      TypeError, ValueError: The status is malformed; nothing has changed.
     """
     (
         number,
@@ -99,22 +102,24 @@
     ) = fields
     if number <= member.status_number:
         return False
+    decoded = None
+    if endpoint is not None:
+        instance, service, version, slots, state = endpoint
+        decoded = members.Endpoint(
+            instance, service, version, slots, backend.BackendState(state)
+        )
+    running, waiting, service_time_ms, failed_percent = load
+    decoded_counts = tuple(members.RouteCount(*count) for count in counts or ())
     member.status_number = number
     member.status = fields
     member.leaving = leaving
     member.store_available = store_available
     member.store_latency_ms = store_latency_ms
     member.generation = ids.Generation(generation)
-    member.report_load(*load)
+    member.report_load(running, waiting, service_time_ms, failed_percent)
     if counts is not None:
         member.rollout_created_revision = rollout_created_revision
-        member.counts = tuple(members.RouteCount(*count) for count in counts)
-    decoded = None
-    if endpoint is not None:
-        instance, service, version, slots, state = endpoint
-        decoded = members.Endpoint(
-            instance, service, version, slots, backend.BackendState(state)
-        )
+        member.counts = decoded_counts
     if decoded == member.endpoint:
         return False
     member.endpoint = decoded
--- a/src/lycheestair/sidecar/streams.py
+++ b/src/lycheestair/sidecar/streams.py
@@ -77,8 +77,7 @@
         """Implements asyncio.Protocol."""
         self.was_reset = exc is not None
         self._mark_closed()
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
+        self.resume_writing()
 
     def pause_writing(self) -> None:
         """Implements asyncio.Protocol."""
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -14,6 +14,7 @@
 
 _NUMBERS = itertools.count(1)
 
+MEMORY_BYTES = 300_000_000
 SETTINGS = """\
 self_node.node_name={name}
 self_node.ip_address={host}
