--- a/src/lycheestair/sidecar/budget.py
+++ b/src/lycheestair/sidecar/budget.py
@@ -102,9 +102,27 @@
         self.requests.add()
         self._tokens = min(self._burst, self._tokens + earned)
 
-    def try_spend(self) -> bool:
-        """Takes the token for one retry; returns whether there was one."""
-        if self._tokens < 1.0:
+    @property
+    def _reserve(self) -> float:
+        """Tokens that only calls of the local backend server may take.
+
+        A call that fails wastes the work done for the request that made it, and
+        backend servers do not retry. Its share of the burst is that of the
+        calls among the requests.
+        """
+        requests = self.requests.read()
+        if not requests:
+            return 0.0
+        return self._burst * min(1.0, self.dependency_calls.read() / requests)
+
+    def try_spend(self, from_local_backend: bool = False) -> bool:
+        """Takes the token for one retry; returns whether there was one.
+
+        Args:
+          from_local_backend: Whether the local backend server made the request.
+        """
+        reserve = 0.0 if from_local_backend else self._reserve
+        if self._tokens < 1.0 + reserve:
             return False
         self._tokens -= 1.0
         return True
--- a/src/lycheestair/sidecar/calls.py
+++ b/src/lycheestair/sidecar/calls.py
@@ -28,7 +28,6 @@
         objective.
       service: Target service; not sent to the serving node, which does not
         need it.
-      client_retries: Whether the client is expected to retry after a failure.
       own: Whether the entry node's local backend server sent the request.
         Backend servers do not retry.
       is_retry: Whether an earlier attempt may have reached a backend server.
@@ -50,7 +49,6 @@
     deadline: float
     objective: float
     service: ids.ServiceName = ids.ServiceName("")
-    client_retries: bool = False
     own: bool = False
     is_retry: bool = False
     max_wait_s: float | None = None
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -36,13 +36,6 @@
 # Nodes that may send a request back because another one seems to have a shorter
 # queue. After that, the request joins the queue that seems shortest.
 MAX_LONG_QUEUES: Final = 3
-# Clients with a longer timeout than this retry by themselves, which does not
-# consume the retry budget. The budget is reserved for calls made by backend
-# servers and for clients that have already retried.
-MIN_RETRYING_CLIENT_TIMEOUT_S: Final = 1.0
-# A client whose timeout is at least this much shorter than the longest one seen
-# for its route is assumed to be retrying.
-MIN_TIMEOUT_REDUCTION_S: Final = 0.02
 # Reserved for returning the response before the client times out.
 RESPONSE_MARGIN_S: Final = 0.02
 # Timeout of clients that send no valid one.
@@ -91,8 +84,6 @@
         self._serving_node = server
         self._log = log
         self._metrics = node_metrics
-        # Longest client timeout seen for each route.
-        self._longest_timeout_s: dict[ids.RouteName, float] = {}
         self._budgets = budgets
         self._connections: set[streams.Stream] = set()
         self._idle: set[streams.Stream] = set()
@@ -232,7 +223,11 @@
                 outcome = calls.Refusal(errors.ErrorKind.NO_ROUTE)
             else:
                 call = self._create_call(request, request_id, route, arrived_at)
-                call.own = from_local_backend
+                if from_local_backend:
+                    call.own = True
+                    # A late response still lets the request of the backend
+                    # server succeed; a refusal wastes the work done for it.
+                    call.objective = call.deadline
                 outcome = await self._send_with_retries(call, route, tried)
         if from_local_backend and _is_error(outcome):
             self._serving_node.failed_dependency_calls.add()
@@ -294,17 +289,13 @@
         route: catalog_lib.Route,
         arrived_at: float,
     ) -> calls.Call:
-        client_timeout_s = longest_timeout_s = DEFAULT_TIMEOUT_S
+        client_timeout_s = DEFAULT_TIMEOUT_S
         with contextlib.suppress(ValueError):
             # Without a valid value only the timeout of the route applies.
             client_timeout_s = (
                 int(request.find_header(self._headers.deadline_ms) or b"")
                 / 1000
             )
-            longest_timeout_s = max(
-                client_timeout_s, self._longest_timeout_s.get(route.name, 0.0)
-            )
-            self._longest_timeout_s[route.name] = longest_timeout_s
         return calls.Call(
             request_id=request_id,
             method=request.method,
@@ -325,14 +316,7 @@
             priority=route.priority,
             deadline=arrived_at
             + min(client_timeout_s - RESPONSE_MARGIN_S, route.timeout_s),
-            # The latency objective of a retry counts from the client's first
-            # attempt: a shorter timeout than usual means that the difference
-            # has already elapsed.
-            objective=arrived_at
-            + route.objective_s
-            - (longest_timeout_s - client_timeout_s),
-            client_retries=client_timeout_s > MIN_RETRYING_CLIENT_TIMEOUT_S
-            and longest_timeout_s - client_timeout_s < MIN_TIMEOUT_REDUCTION_S,
+            objective=arrived_at + route.objective_s,
         )
 
     async def _send_with_retries(
@@ -385,8 +369,7 @@
                 break
             if reached_count and (
                 reached_count >= route.max_attempts
-                or (call.client_retries and not call.own)
-                or not retry_budget.try_spend()
+                or not retry_budget.try_spend(call.own)
             ):
                 break
             call.is_retry = reached_count > 0
--- a/tests/test_platform_budget.py
+++ b/tests/test_platform_budget.py
@@ -78,14 +78,14 @@
         called.record_request(from_local_backend=True)
         called.record_request(from_local_backend=True)
     spent = 0
-    while called.try_spend():
+    while called.try_spend(from_local_backend=True):
         spent += 1
     assert spent
     called.record_request(from_local_backend=True)
     tokens = called._tokens
     budgets.record_execution(True)
     assert tokens - called._tokens == pytest.approx(2.0, abs=0.1)
-    assert not called.try_spend()
+    assert not called.try_spend(from_local_backend=True)
 
 
 def test_execution_of_a_retry_is_not_charged_to_its_own_service(fake_clock):
@@ -97,3 +97,30 @@
     tokens = local._tokens
     budgets.record_execution(True)
     assert local._tokens == tokens
+
+
+def test_part_of_the_budget_is_reserved_for_calls_of_backend_servers(
+    fake_clock,
+):
+    """Guards against clients whose retries leave none for calls."""
+    del fake_clock
+    budget = budget_lib.RetryBudget(BOUNDS, make_table())
+    for number in range(100):
+        budget.record_request(from_local_backend=number % 2 == 0)
+    spent_by_clients = spent_by_calls = 0
+    while budget.try_spend():
+        spent_by_clients += 1
+    while budget.try_spend(from_local_backend=True):
+        spent_by_calls += 1
+    assert spent_by_clients
+    assert spent_by_calls >= spent_by_clients
+
+
+def test_service_without_calls_spends_its_whole_budget_on_clients(fake_clock):
+    del fake_clock
+    budget = budget_lib.RetryBudget(BOUNDS, make_table())
+    for _ in range(100):
+        budget.record_request()
+    while budget.try_spend():
+        pass
+    assert not budget.try_spend(from_local_backend=True)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -485,8 +485,6 @@
                 )
                 assert response.status == 200
                 assert response.find_header(standins.STAMP_HEADER) == b"i-n2"
-            # A client with enough time retries by itself, which does not
-            # consume the retry budget.
             second.backend_server.handler_override = refuse
             response = await first.request(
                 "/order/1", b"POST", deadline_ms=3000
@@ -497,6 +495,48 @@
     run_scenario(scenario)
 
 
+def test_clients_with_different_limits_are_treated_alike():
+    """Guards against guesses from its limit whether a client will return.
+
+    The first attempt of each request is refused by its server.
+    """
+
+    async def scenario():
+        async with platform_world.run(*THREE_NODES) as world:
+            first, second, _ = world.instances
+            refused = set()
+
+            def make_handler(server):
+                async def refuse_once(request, stream):
+                    request_id = request.find_header(b"x-request-id")
+                    if request_id in refused:
+                        stream.write(server.encode(request))
+                        return
+                    refused.add(request_id)
+                    stream.write(
+                        http1.encode_response(
+                            http1.Response(
+                                503, [(b"x-not-executed", b"1")], b""
+                            ),
+                            request.method,
+                            True,
+                        )
+                    )
+
+                return refuse_once
+
+            for instance in (first, second):
+                server = instance.backend_server
+                server.handler_override = make_handler(server)
+            for deadline_ms in (3000, 800, 3000, 500, 2000):
+                response = await first.request(
+                    "/order/1", b"POST", deadline_ms=deadline_ms
+                )
+                assert response.status == 200, deadline_ms
+
+    run_scenario(scenario)
+
+
 def test_call_of_the_local_server_is_retried_regardless_of_its_timeout():
     """Guards against refusing a call of a backend server without a retry.
 
@@ -527,6 +567,30 @@
     run_scenario(scenario)
 
 
+def test_call_of_the_local_server_waits_until_its_deadline():
+    """Guards against failed requests whose calls were refused as late.
+
+    A late call still lets the request of the backend server succeed, a refused
+    one does not.
+    """
+
+    async def scenario():
+        async with platform_world.run(*THREE_NODES) as world:
+            first, _, press = world.instances
+            press.backend_server.slots = 1
+            press.backend_server.work_s = 0.35
+            await press.backend_server.announce()
+            await platform_world.wait_for(
+                lambda: press.node._server.admission.slots == 1
+            )
+            responses = await asyncio.gather(
+                *(first.call("/press/1", b"POST") for _ in range(4))
+            )
+            assert [response.status for response in responses] == [200] * 4
+
+    run_scenario(scenario)
+
+
 def test_request_that_failed_because_of_a_call_is_not_retried():
     """Guards against repeated calls to a failing service.
 
