--- a/src/lycheestair/load_model.py
+++ b/src/lycheestair/load_model.py
@@ -95,6 +95,7 @@
         records: list[members.NodeRecord],
         number: int,
         slowness: float,
+        generator: random.Random,
     ):
         self.node_id = records[number].node_id
         self.slowness = slowness
@@ -113,7 +114,7 @@
             )
         self.table.rebuild_service_index()
         planner = versions.VersionPlanner(settings_lib.Bounds(), self.table)
-        self.balancer = balancer.Balancer(self.table, planner)
+        self.balancer = balancer.Balancer(self.table, planner, generator)
 
     def read_load(self) -> list[int]:
         return [*self.admission.read_load(), 0]
@@ -152,6 +153,7 @@
                 generator.uniform(
                     experiment.min_slowness, experiment.max_slowness
                 ),
+                generator,
             )
             for number, record in enumerate(records)
         }
--- a/src/lycheestair/sidecar/balancer.py
+++ b/src/lycheestair/sidecar/balancer.py
@@ -55,10 +55,14 @@
     """
 
     def __init__(
-        self, table: members.MemberTable, planner: versions_lib.VersionPlanner
+        self,
+        table: members.MemberTable,
+        planner: versions_lib.VersionPlanner,
+        generator: random.Random,
     ):
         self._table = table
         self._planner = planner
+        self._generator = generator
 
     def choose(
         self, call: calls.Call, excluded: set[ids.NodeId]
@@ -80,7 +84,7 @@
         }
         if not allowed:
             return None
-        selected = _choose_weighted(allowed)
+        selected = self._choose_version(allowed)
         # If the selected version has no candidates left, only versions with at
         # least the same share replace it, so that a new version never gets more
         # than its share.
@@ -94,6 +98,13 @@
                 return member
         return None
 
+    def _choose_version(
+        self, shares: dict[ids.VersionName, float]
+    ) -> ids.VersionName:
+        if len(shares) == 1:
+            return next(iter(shares))
+        return self._generator.choices(list(shares), list(shares.values()))[0]
+
     def _iterate_usable(
         self, service: ids.ServiceName, version: ids.VersionName
     ) -> Iterator[members.Member]:
@@ -145,7 +156,7 @@
             return None
         if len(best) > 1:
             next_cost_ms = min_cost_ms
-        member = random.choice(best)
+        member = self._generator.choice(best)
         assert member.endpoint is not None
         call.instance = member.endpoint.instance
         call.max_wait_s = None
@@ -158,7 +169,9 @@
     def _select_examined(
         self, tier: Sequence[members.Member], excluded: set[ids.NodeId]
     ) -> Iterator[members.Member]:
-        start = random.randrange(len(tier)) if len(tier) > MAX_EXAMINED else 0
+        start = 0
+        if len(tier) > MAX_EXAMINED:
+            start = self._generator.randrange(len(tier))
         return itertools.islice(
             (
                 member
@@ -216,11 +229,3 @@
     if queued <= 0:
         return 0.0
     return queued * _get_service_time_ms(member) / slots
-
-
-def _choose_weighted(
-    shares: dict[ids.VersionName, float],
-) -> ids.VersionName:
-    if len(shares) == 1:
-        return next(iter(shares))
-    return random.choices(list(shares), list(shares.values()))[0]
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 from typing import Final
 
 from lycheestair import errors
@@ -79,7 +80,7 @@
         )
         self._table = table
         self._gossip = gossip
-        self._balancer = balancer.Balancer(table, planner)
+        self._balancer = balancer.Balancer(table, planner, random.Random())
         self._splits = splits.SplitSelector()
         self._serving_node = server
         self._log = log
--- a/tests/test_platform_balancer.py
+++ b/tests/test_platform_balancer.py
@@ -1,5 +1,7 @@
 """Selection of backend servers: exposure of new versions, and distance."""
 
+import random
+
 import pytest
 
 from lycheestair.sidecar import balancer as balancer_lib
@@ -36,7 +38,9 @@
             members.backend.BackendState.SERVING,
         )
     table.rebuild_service_index()
-    return table, balancer_lib.Balancer(table, FakePlanner(shares))
+    return table, balancer_lib.Balancer(
+        table, FakePlanner(shares), random.Random(1)
+    )
 
 
 def make_call(priority=1):
@@ -92,7 +96,7 @@
     assert names == chosen
 
 
-def make_large_fleet(servers, domains=9):
+def make_large_fleet(servers, domains=9, seed=1):
     """Returns a table and a balancer of a service in many domains."""
     table = members.MemberTable(make_record("own"))
     for number in range(servers):
@@ -112,7 +116,9 @@
         )
         member.report_load(0, 0, 290, 0)
     table.rebuild_service_index()
-    return table, balancer_lib.Balancer(table, FakePlanner({"v1": 1.0}))
+    return table, balancer_lib.Balancer(
+        table, FakePlanner({"v1": 1.0}), random.Random(seed)
+    )
 
 
 @pytest.mark.parametrize("waiting", [0, 6])
@@ -164,8 +170,8 @@
     idle to all nodes gets the requests of all of them.
     """
     chosen = set()
-    for _ in range(40):
-        table, balancer = make_large_fleet(148)
+    for seed in range(40):
+        table, balancer = make_large_fleet(148, seed=seed)
         for member in table.list_others():
             member.was_tried = True
             is_local = member.record.failure_domain == "a1"
