--- a/src/lycheestair/sidecar/frames.py
+++ b/src/lycheestair/sidecar/frames.py
@@ -36,6 +36,7 @@
     ROLLOUTS = 10
     CONFIGURATION_ACKNOWLEDGED = 11
     DIGEST = 12
+    DEPARTURES = 13
 
 
 Frame = list[Any]
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -213,6 +213,8 @@
         if self.cells.is_in_own_cell(member) or link.persistent:
             link.send(self._encode_rollouts())
             self.digests.send_initial(link)
+        if self.cells.is_in_own_cell(member):
+            self._send_departures(link)
         if not self.catalog.generation and member.generation:
             self.replica.fetch(member)
         elif (
@@ -260,6 +262,8 @@
             ]
             if any(changes) and not self.cells.is_in_own_cell(member):
                 self.publish_rollouts()
+        elif frame_type == frames.FrameType.DEPARTURES:
+            self._apply_departures(member, frame[1], frame[2])
         elif frame_type == frames.FrameType.DIGEST:
             self.digests.apply(member, frame[1])
 
@@ -319,6 +323,32 @@
         for link in self.digests.list_links_in_own_cell():
             link.send_bytes(data)
 
+    # Departures of backend servers.
+
+    def publish_departures(self) -> None:
+        """Sends the departures acknowledged by this node to its cell."""
+        for link in self.digests.list_links_in_own_cell():
+            self._send_departures(link)
+
+    def _send_departures(self, link: links.PeerLink) -> None:
+        """Sends the departures of this node, and those known of the other."""
+        for node_id, known in (
+            (self._table.own.record.node_id, self._serving_node.departures),
+            (link.member.record.node_id, link.member.departures),
+        ):
+            if known:
+                link.send(
+                    [frames.FrameType.DEPARTURES, node_id, known.encode()]
+                )
+
+    def _apply_departures(
+        self, sender: members.Member, node_id: ids.NodeId, fields: Any
+    ) -> None:
+        if node_id == self._table.own.record.node_id:
+            self._serving_node.restore_departures(fields)
+        elif node_id == sender.record.node_id:
+            sender.departures.update(fields)
+
     # Feeders.
 
     def list_feeders(self) -> list[members.Member]:
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -9,6 +9,7 @@
 from lycheestair import ids
 from lycheestair.sidecar import backend
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import departures as departures_lib
 
 # Weight of the latest outcome in the moving average of failures.
 FAILURE_RATE_WEIGHT: Final = 0.15
@@ -156,6 +157,7 @@
       was_tried: Whether this node has tried to send it a request since the
         member last started.
       ping_overdue: Whether its answer to a ping is overdue.
+      departures: Departures that it has acknowledged, also before a restart.
     """
 
     def __init__(self, record: NodeRecord):
@@ -177,6 +179,7 @@
         self.connection_lost_at = 0.0
         self.was_tried = False
         self.ping_overdue = False
+        self.departures = departures_lib.Departures()
         self._failures = FailureRate()
 
     def reset(self, record: NodeRecord) -> None:
--- a/src/lycheestair/sidecar/node.py
+++ b/src/lycheestair/sidecar/node.py
@@ -106,6 +106,7 @@
             settings, self._table, self._server, self._planner, self._log
         )
         self._server.on_endpoint_change = self._gossip.publish_status
+        self._server.on_departure = self._gossip.publish_departures
         self._entry_node = entry.EntryNode(
             settings,
             platform.headers,
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 import time
+from typing import Any
 from typing import Final
 
 from lycheestair import errors
@@ -15,6 +16,7 @@
 from lycheestair.sidecar import byte_budget
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import departures as departures_lib
 from lycheestair.sidecar import dependencies
 from lycheestair.sidecar import event_log
 from lycheestair.sidecar import http1
@@ -53,6 +55,9 @@
         milliseconds, by route.
       failed_dependency_calls: Failed calls of the backend server to other
         services.
+      departures: Departures that this node has acknowledged, also before a
+        restart.
+      on_departure: Called when a departure has been acknowledged.
     """
 
     def __init__(
@@ -67,6 +72,8 @@
         self.on_endpoint_change: Callable[[], None] = lambda: None
         self.counts: dict[ids.RouteName, list[int]] = {}
         self.failed_dependency_calls = dependencies.FailedDependencyCalls()
+        self.departures = departures_lib.Departures()
+        self.on_departure: Callable[[], None] = lambda: None
         self._settings = settings
         self._headers = headers
         self._budgets = budgets
@@ -77,6 +84,8 @@
         # Latest start in Unix milliseconds of deregistered incarnations, by
         # instance.
         self._deregistered_ms: dict[str, int] = {}
+        # Departures acknowledged before a restart of this node.
+        self._earlier_departures = departures_lib.Departures()
         self._pool = pool.ConnectionPool(settings.server_address)
         self._answer_memory = byte_budget.ByteBudget(
             int(settings.memory_bytes * ANSWER_MEMORY_RATIO)
@@ -107,9 +116,13 @@
             return True
         if announcement.started_ms <= self._deregistered_ms.get(
             announcement.instance, -1
+        ) or self._earlier_departures.contains(
+            announcement.instance, announcement.started_ms
         ):
-            # The heartbeat was delayed and arrived after the deregistration.
+            # The heartbeat was delayed and arrived after the departure.
             return True
+        if announcement.state is backend.BackendState.DRAINING:
+            self._add_departure(announcement.instance, announcement.started_ms)
         if known is None or (known.instance, known.started_ms) != incarnation:
             self._pool.close_idle()
             self.admission.reset_service_time()
@@ -128,12 +141,31 @@
         )
         return True
 
+    def _add_departure(self, instance: str, started_ms: int) -> None:
+        if self.departures.add(instance, started_ms):
+            self.on_departure()
+
+    def restore_departures(self, fields: Any) -> None:
+        """Applies departures that this node acknowledged before its restart.
+
+        Raises:
+          ValueError: The fields are malformed.
+        """
+        self._earlier_departures.update(fields)
+        self.departures.update(fields)
+        announced = self._latest_announcement
+        if announced is not None and self._earlier_departures.contains(
+            announced.instance, announced.started_ms
+        ):
+            self._set_endpoint(None, "departed before the restart")
+
     def _deregister(self, announcement: backend.Announcement) -> None:
         known = self._latest_announcement
         started_ms = announcement.started_ms
         if known is not None and known.instance == announcement.instance:
             started_ms = started_ms or known.started_ms
             self._set_endpoint(None, "deregistered")
+        self._add_departure(announcement.instance, started_ms)
         # A backend server that starts later is another incarnation.
         self._deregistered_ms[announcement.instance] = (
             started_ms or read_unix_ms()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -299,6 +299,45 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("departure", ["draining", "deregistered"])
+def test_departed_server_is_not_used_again_after_a_restart_of_its_node(
+    departure,
+):
+    """Guards against a delayed heartbeat at a node that has forgotten a departure.
+
+    The other nodes remember what the node has acknowledged.
+    """
+
+    async def scenario():
+        async with platform_world.run(*THREE_NODES) as world:
+            first, second, _ = world.instances
+            server = first.backend_server
+            if departure == "draining":
+                server.state = "draining"
+                assert await server.announce() == 200
+            else:
+                assert await server.deregister(b'{"born": 1000}') == 200
+            peer = second.node._table.find("n1")
+            await platform_world.wait_for(lambda: peer.departures)
+            first.node.stop()
+            await asyncio.sleep(0.1)
+            await first.start_node()
+            await platform_world.wait_for(first.is_ready)
+            await platform_world.wait_for(lambda: first.node._server.departures)
+            server.state = "ready"
+            assert await server.announce() == 200
+            for _ in range(10):
+                assert (await second.request()).status == 200
+                assert (await first.request()).status == 200
+            assert not server.received_requests
+            # A later incarnation under the same id is used.
+            server.started_ms = 2_000
+            assert await server.announce() == 200
+            assert first.node._server.endpoint is not None
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     "changes",
     [
