--- a/src/lycheestair/sidecar/balancer.py
+++ b/src/lycheestair/sidecar/balancer.py
@@ -41,7 +41,7 @@
 # is selected, so that nodes do not all select the same backend server.
 TIE_MARGIN_MS: Final = 5.0
 # Candidates that are examined in each tier, beginning at a random one.
-MAX_EXAMINED: Final = 32
+MAX_EXAMINED: Final = 16
 # Least time in the queue that a call accepts. Shorter waits don't justify another
 # attempt.
 MIN_WAIT_LIMIT_MS: Final = 30.0
@@ -190,10 +190,13 @@
         The cost is the expected latency plus penalties for distance and
         failures, in milliseconds.
         """
-        cost_ms = _get_service_time_ms(member) * SERVICE_TIME_COST_RATIO
-        cost_ms += _estimate_queue_time_ms(member)
-        cost_ms += member.failure_rate * FAILURE_COST_MS
-        cost_ms += member.ping_overdue * UNRESPONSIVE_COST_MS
+        cost_ms = (
+            _get_service_time_ms(member) * SERVICE_TIME_COST_RATIO
+            + _estimate_queue_time_ms(member)
+            + member.ping_overdue * UNRESPONSIVE_COST_MS
+        )
+        if member.has_failures:
+            cost_ms += member.failure_rate * FAILURE_COST_MS
         if member is self._table.own:
             return cost_ms
         own = self._table.own.record
@@ -224,7 +227,7 @@
 
 def _estimate_queue_time_ms(member: members.Member) -> float:
     assert member.endpoint is not None
-    slots = max(1, member.endpoint.slots)
+    slots = member.endpoint.slots or 1
     queued = member.outstanding + 1 - slots
     if queued <= 0:
         return 0.0
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -36,7 +36,7 @@
 MAX_OVERLOADED_NODES: Final = 2
 # Nodes that may send a request back because another one seems to have a shorter
 # queue. After that, the request joins the queue that seems shortest.
-MAX_LONG_QUEUES: Final = 3
+MAX_LONG_QUEUES: Final = 2
 # Reserved for returning the response before the client times out.
 RESPONSE_MARGIN_S: Final = 0.02
 # Timeout of clients that send no valid one.
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -122,6 +122,11 @@
         self._updated_at = clock.read_s()
         self._value = value + self._weight * (failed - value)
 
+    @property
+    def has_failures(self) -> bool:
+        """Whether a failure has been recorded."""
+        return bool(self._value)
+
     def read(self) -> float:
         """Returns the current failure rate, from 0 to 1."""
         if not self._value:
@@ -227,6 +232,11 @@
         """Records whether a request to it failed."""
         self._failures.add(failed)
 
+    @property
+    def has_failures(self) -> bool:
+        """Whether its failure rate may be above 0."""
+        return bool(self.load.failed_percent) or self._failures.has_failures
+
     @property
     def failure_rate(self) -> float:
         """Larger of the failure rates measured by this node and by the member.
--- a/src/lycheestair/sidecar/peer_server.py
+++ b/src/lycheestair/sidecar/peer_server.py
@@ -184,7 +184,12 @@
         running.outcome = outcome
         self._finished_calls.append((clock.read_s(), key))
         self._expire_outcomes()
-        if isinstance(outcome, calls.Refusal):
+        # A call that is sent back because of a long queue is not refused; the
+        # entry node logs which nodes it has tried.
+        if (
+            isinstance(outcome, calls.Refusal)
+            and outcome.kind is not errors.ErrorKind.LONG_QUEUE
+        ):
             self._log.write(
                 "call refused",
                 id=call.request_id.decode("latin-1"),
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -81,6 +81,7 @@
 def test_documented_commands_run(document, line, monkeypatch, tmp_path, capsys):
     assert document
     (tmp_path / "examples").symlink_to(ROOT / "examples")
+    (tmp_path / "docs").symlink_to(ROOT / "docs")
     monkeypatch.chdir(tmp_path)
     assert cli.run(shlex.split(line)[1:]) == 0, capsys.readouterr().err
 
--- a/tests/test_platform_load.py
+++ b/tests/test_platform_load.py
@@ -13,9 +13,7 @@
 from lycheestair.sidecar import frames
 from lycheestair.sidecar import queueing
 
-EXAMPLE = (
-    pathlib.Path(__file__).parents[1] / "examples/experiments/overload.toml"
-)
+EXAMPLE = pathlib.Path(__file__).parents[1] / "docs/experiments/overload.toml"
 # The failure domain of a large fleet: 16 servers of a service with three slots.
 SERVERS, SLOTS = 16, 3
 VIEW_WORK_S, ORDER_WORK_S = 0.29, 0.38
