--- a/src/lycheestair/load_model.py
+++ b/src/lycheestair/load_model.py
@@ -112,7 +112,7 @@
                 experiment.slots,
                 backend.BackendState.SERVING,
             )
-        self.table.rebuild_service_index()
+        self.table.invalidate_service_index()
         planner = versions.VersionPlanner(settings_lib.Bounds(), self.table)
         self.balancer = balancer.Balancer(self.table, planner, generator)
 
--- a/src/lycheestair/sidecar/cells.py
+++ b/src/lycheestair/sidecar/cells.py
@@ -6,7 +6,6 @@
 the number of cells, not with the size of the fleet.
 """
 
-import collections
 from typing import Final
 
 from lycheestair import ids
@@ -28,53 +27,45 @@
         self._table = table
         self._table_version = -1
         self._members_by_cell: dict[ids.Cell, list[members.Member]] = {}
-        self._cells: dict[ids.NodeId, ids.Cell] = {}
-        self._own_cell = ids.Cell("")
 
     @property
     def own_cell(self) -> ids.Cell:
         """Cell of this node."""
-        self._refresh()
-        return self._own_cell
+        return self.find_cell(self._table.own)
 
     def find_cell(self, member: members.Member) -> ids.Cell:
         """Returns the cell of a known member."""
-        self._refresh()
-        return self._cells[member.record.node_id]
+        record = member.record
+        if self._is_divided(record.region):
+            return ids.Cell(f"{record.region}/{record.failure_domain}")
+        return ids.Cell(record.region)
 
     def is_in_own_cell(self, member: members.Member) -> bool:
         """Whether a known member is in the cell of this node."""
-        self._refresh()
-        return self._cells.get(member.record.node_id) == self._own_cell
+        own, record = self._table.own.record, member.record
+        return record.region == own.region and (
+            record.failure_domain == own.failure_domain
+            or not self._is_divided(own.region)
+        )
+
+    def _is_divided(self, region: ids.Region) -> bool:
+        return self._table.region_sizes[region] > MAX_REGION_CELL_NODES
 
     def list_members(self, cell: ids.Cell) -> list[members.Member]:
         """Returns the members of a cell."""
-        self._refresh()
-        return self._members_by_cell.get(cell, [])
+        return self._group_members().get(cell, [])
 
     def list_other_cells(self) -> list[ids.Cell]:
         """Returns all cells but that of this node."""
-        self._refresh()
-        return [
-            cell for cell in self._members_by_cell if cell != self._own_cell
-        ]
+        own_cell = self.own_cell
+        return [cell for cell in self._group_members() if cell != own_cell]
 
-    def _refresh(self) -> None:
-        if self._table_version == self._table.version:
-            return
-        self._table_version = self._table.version
-        region_sizes = collections.Counter(
-            member.record.region for member in self._table
-        )
-        self._members_by_cell = {}
-        self._cells = {}
-        for member in self._table:
-            record = member.record
-            cell = ids.Cell(
-                record.region
-                if region_sizes[record.region] <= MAX_REGION_CELL_NODES
-                else f"{record.region}/{record.failure_domain}"
-            )
-            self._members_by_cell.setdefault(cell, []).append(member)
-            self._cells[record.node_id] = cell
-        self._own_cell = self._cells[self._table.own.record.node_id]
+    def _group_members(self) -> dict[ids.Cell, list[members.Member]]:
+        if self._table_version != self._table.version:
+            self._table_version = self._table.version
+            self._members_by_cell = {}
+            for member in self._table:
+                self._members_by_cell.setdefault(
+                    self.find_cell(member), []
+                ).append(member)
+        return self._members_by_cell
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -303,7 +303,7 @@
             version=endpoint.version if endpoint else None,
             state=endpoint.state.value if endpoint else "gone",
         )
-        self._table.rebuild_service_index()
+        self._table.invalidate_service_index()
 
     def _encode_status(self) -> list[Any]:
         own = self._table.own
@@ -318,7 +318,7 @@
         own = self._table.own
         if own.endpoint != self._serving_node.endpoint:
             own.endpoint = self._serving_node.endpoint
-            self._table.rebuild_service_index()
+            self._table.invalidate_service_index()
         data = frames.encode([frames.FrameType.STATUS, self._encode_status()])
         for link in self.digests.list_links_in_own_cell():
             link.send_bytes(data)
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -1,5 +1,6 @@
 """Table of the known nodes and their backend servers."""
 
+import collections
 from collections.abc import Collection
 from collections.abc import Iterator
 import dataclasses
@@ -269,16 +270,19 @@
     Attributes:
       own: This node.
       version: Increases when a member is added, restarted or removed.
+      region_sizes: Number of members of each region.
     """
 
     def __init__(self, own: NodeRecord):
         self.own = Member(own)
         self.own.reachable = True
         self.version = 0
+        self.region_sizes = collections.Counter({own.region: 1})
         self._members: dict[ids.NodeId, Member] = {own.node_id: self.own}
         self._ids_by_address: dict[ids.Address, ids.NodeId] = {
             own.address: own.node_id
         }
+        self._is_index_valid = True
         self._serving: dict[
             ids.ServiceName, dict[ids.VersionName, ServingMembers]
         ] = {}
@@ -333,14 +337,17 @@
             member = Member(record)
             self._members[record.node_id] = member
             self._ids_by_address[record.address] = record.node_id
+            self.region_sizes[record.region] += 1
             self.version += 1
             return member
         if known is self.own or record.incarnation <= known.record.incarnation:
             return None
+        self.region_sizes[known.record.region] -= 1
+        self.region_sizes[record.region] += 1
         known.reset(record)
         self._ids_by_address[record.address] = record.node_id
         self.version += 1
-        self.rebuild_service_index()
+        self.invalidate_service_index()
         return known
 
     def remove(self, node_id: ids.NodeId) -> None:
@@ -350,11 +357,20 @@
             return
         if self._ids_by_address.get(member.record.address) == node_id:
             del self._ids_by_address[member.record.address]
+        self.region_sizes[member.record.region] -= 1
         self.version += 1
-        self.rebuild_service_index()
+        self.invalidate_service_index()
 
-    def rebuild_service_index(self) -> None:
-        """Rebuilds the index by service; required after endpoint changes."""
+    def invalidate_service_index(self) -> None:
+        """Tells that an endpoint has changed.
+
+        The index by service is rebuilt when it is used next: endpoints change in
+        bursts.
+        """
+        self._is_index_valid = False
+
+    def _rebuild_service_index(self) -> None:
+        self._is_index_valid = True
         self._serving = {}
         own = self.own.record
         for member in self._members.values():
@@ -378,7 +394,7 @@
         self, service: ids.ServiceName, version: ids.VersionName
     ) -> list[Member]:
         """Returns the members that serve a version of a service."""
-        found = self._serving.get(service, {}).get(version)
+        found = self._find_versions(service).get(version)
         return found.all if found else []
 
     def list_serving_by_distance(
@@ -388,11 +404,18 @@
 
         The tiers are this node's failure domain, its region and the rest.
         """
-        found = self._serving.get(service, {}).get(version)
+        found = self._find_versions(service).get(version)
         return found.by_distance if found else ([], [], [])
 
     def list_versions(
         self, service: ids.ServiceName
     ) -> Collection[ids.VersionName]:
         """Returns the versions with a serving backend server of a service."""
-        return self._serving.get(service, {}).keys()
+        return self._find_versions(service).keys()
+
+    def _find_versions(
+        self, service: ids.ServiceName
+    ) -> dict[ids.VersionName, ServingMembers]:
+        if not self._is_index_valid:
+            self._rebuild_service_index()
+        return self._serving.get(service, {})
--- a/tests/test_platform_balancer.py
+++ b/tests/test_platform_balancer.py
@@ -37,7 +37,7 @@
             4,
             members.backend.BackendState.SERVING,
         )
-    table.rebuild_service_index()
+    table.invalidate_service_index()
     return table, balancer_lib.Balancer(
         table, FakePlanner(shares), random.Random(1)
     )
@@ -115,7 +115,7 @@
             f"i{number}", "desk", "v1", 3, members.backend.BackendState.SERVING
         )
         member.report_load(0, 0, 290, 0)
-    table.rebuild_service_index()
+    table.invalidate_service_index()
     return table, balancer_lib.Balancer(
         table, FakePlanner({"v1": 1.0}), random.Random(seed)
     )
--- a/tests/test_platform_cells.py
+++ b/tests/test_platform_cells.py
@@ -376,3 +376,40 @@
                 )
 
     run_scenario(scenario)
+
+
+def test_burst_of_endpoint_changes_rebuilds_the_index_once(monkeypatch):
+    """Guards against work that grows with the square of the fleet.
+
+    Each node learns of each endpoint separately when many start together.
+    """
+    table = make_fleet(33)
+    rebuilds = []
+    rebuild = table._rebuild_service_index
+
+    def count():
+        rebuilds.append(None)
+        rebuild()
+
+    monkeypatch.setattr(table, "_rebuild_service_index", count)
+    for member in table:
+        member.endpoint = members.Endpoint(
+            member.record.node_id,
+            "desk",
+            "v1",
+            3,
+            members.backend.BackendState.SERVING,
+        )
+        table.invalidate_service_index()
+    assert len(table.list_serving("desk", "v1")) == len(table)
+    assert set(table.list_versions("desk")) == {"v1"}
+    assert len(rebuilds) == 1
+
+
+def test_region_sizes_follow_the_members():
+    table = make_fleet(2, domains_per_region=2, regions=2)
+    assert table.region_sizes == {"r0": 4, "r1": 4}
+    restarted = members.NodeRecord("10-000", "10-0:1", "10", "r0", 2)
+    table.add(restarted)
+    table.remove("11-001")
+    assert table.region_sizes == {"r0": 5, "r1": 2}
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -46,7 +46,7 @@
         )
         member.rollout_created_revision = 5
         member.counts = (members.RouteCount(ROUTE, *count),)
-    table.rebuild_service_index()
+    table.invalidate_service_index()
     planner = versions_lib.VersionPlanner(settings_lib.Bounds(), table)
     return planner
 
