--- a/src/lycheestair/sidecar/admission.py
+++ b/src/lycheestair/sidecar/admission.py
@@ -16,7 +16,8 @@
 INITIAL_SERVICE_TIME_S: Final = 0.15
 # Weight of the latest request in the moving average of the service time.
 SERVICE_TIME_WEIGHT: Final = 0.1
-# Calls that got a slot last, from which the share of each priority is derived.
+# Calls that finished last, from whose durations the share of each priority in the
+# slots is derived.
 RECENT_CALLS: Final = 32
 MIN_RETRY_AFTER_S: Final = 0.1
 MAX_RETRY_AFTER_S: Final = 1.0
@@ -53,8 +54,9 @@
         self._sequence_numbers = itertools.count()
         self._average_service_time_s = INITIAL_SERVICE_TIME_S
         self._start_times: dict[int, float] = {}
-        self._recent_priorities: collections.deque[int] = collections.deque(
-            maxlen=RECENT_CALLS
+        # Priority and duration in seconds.
+        self._recent_calls: collections.deque[tuple[int, float]] = (
+            collections.deque(maxlen=RECENT_CALLS)
         )
 
     @property
@@ -109,11 +111,16 @@
         )
 
     def _compute_share_before(self, priority: int) -> float:
-        """Returns the share of recent calls that take precedence."""
-        if not self._recent_priorities:
+        """Returns the share of the slots that calls with precedence take."""
+        total_s = sum(duration_s for _, duration_s in self._recent_calls)
+        if not total_s:
             return 0.0
-        preceding = sum(recent < priority for recent in self._recent_priorities)
-        return preceding / len(self._recent_priorities)
+        preceding_s = sum(
+            duration_s
+            for recent, duration_s in self._recent_calls
+            if recent < priority
+        )
+        return preceding_s / total_s
 
     async def acquire(self, call: calls.Call) -> calls.Refusal | None:
         """Waits for a slot.
@@ -184,8 +191,9 @@
         """
         started_at = self._start_times.pop(id(call))
         self._running -= 1
+        duration_s = clock.read_s() - started_at
+        self._recent_calls.append((call.priority, duration_s))
         if record_duration:
-            duration_s = clock.read_s() - started_at
             self._average_service_time_s += SERVICE_TIME_WEIGHT * (
                 duration_s - self._average_service_time_s
             )
@@ -213,7 +221,6 @@
 
     def _note_start(self, call: calls.Call) -> None:
         self._start_times[id(call)] = clock.read_s()
-        self._recent_priorities.append(call.priority)
 
     def _assign_free_slots(self) -> None:
         while self._waiters and self._running < self.slots:
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -224,11 +224,7 @@
                 outcome = calls.Refusal(errors.ErrorKind.NO_ROUTE)
             else:
                 call = self._create_call(request, request_id, route, arrived_at)
-                if from_local_backend:
-                    call.own = True
-                    # A late response still lets the request of the backend
-                    # server succeed; a refusal wastes the work done for it.
-                    call.objective = call.deadline
+                call.own = from_local_backend
                 outcome = await self._send_with_retries(call, route, tried)
         if from_local_backend and _is_error(outcome):
             self._serving_node.failed_dependency_calls.add()
--- a/tests/test_platform_load.py
+++ b/tests/test_platform_load.py
@@ -9,7 +9,9 @@
 from lycheestair import cli
 from lycheestair import experiment_settings
 from lycheestair import load_model
+from lycheestair.sidecar import admission
 from lycheestair.sidecar import calls
+from lycheestair.sidecar import clock
 from lycheestair.sidecar import frames
 from lycheestair.sidecar import queueing
 
@@ -178,3 +180,27 @@
     assert len(fields) == (13 if version == 1 else 14)
     decoded = calls.decode_call(fields)
     assert decoded.max_wait_s == (None if version == 1 else 0.25)
+
+
+def test_short_urgent_calls_count_by_their_time_in_the_slots():
+    """Guards against refusals because of many calls that take little time."""
+    queue = admission.Admission()
+    queue.resize(1)
+    now_s = 100.0
+
+    def run(priority, duration_s):
+        nonlocal now_s
+        call = calls.Call(
+            b"1", b"GET", b"/", [], b"", "d", "v", "i", True, priority, 2e9, 1e9
+        )
+        queue._assign_slot(call)
+        now_s += duration_s
+        queue.release(call, True)
+
+    with clock.replace(lambda: now_s):
+        for _ in range(8):
+            run(0, 0.05)
+            run(0, 0.05)
+            run(1, 0.3)
+        assert queue._compute_share_before(1) == pytest.approx(0.25)
+        assert queue._compute_share_before(0) == 0.0
