Log and count what a node knows of the limit of its backend server

The hypotheses of docs/incidents/server-limit.md can't be told apart by logs: no line says which limit a node knows, nor how many requests and retries it sent. The serving node now writes "server limit changed" with these, ignores and logs a malformed limit, and exports the limit and two counters. Nothing is decided by them yet.

A response without a limit ends it only if it is signed: error responses may come from something in front of the server.

--- a/src/lycheestair/platform/requests.py
+++ b/src/lycheestair/platform/requests.py
@@ -18,6 +18,7 @@
     not_executed=b"x-not-executed",
     signature=b"x-server-stamp",
     load=b"x-server-load",
+    limit=b"server-limit",
 )
 READINESS_PATH: Final = "/-/readiness"
 
--- a/src/lycheestair/sidecar/backend.py
+++ b/src/lycheestair/sidecar/backend.py
@@ -51,6 +51,8 @@
         request.
       signature: On a response: signature of the backend server.
       load: On a response: running requests, waiting requests and slots.
+      limit: On a response: requests per second that the backend server accepts
+        from all nodes together.
     """
 
     request_id: bytes
@@ -60,3 +62,4 @@
     not_executed: bytes
     signature: bytes
     load: bytes
+    limit: bytes
--- a/src/lycheestair/sidecar/node.py
+++ b/src/lycheestair/sidecar/node.py
@@ -34,6 +34,8 @@
 # Reserved at the end of the grace period for the exit of the process.
 EXIT_MARGIN_S: Final = 0.3
 DRAIN_POLL_S: Final = 0.05
+# Value of the limit's gauge while the backend server names no limit.
+NO_LIMIT: Final = -1.0
 # Limits of the listeners for readiness checks, heartbeats and metrics.
 MAX_MANAGEMENT_HEADER_BYTES: Final = 16_384
 MAX_MANAGEMENT_BODY_BYTES: Final = 65_536
@@ -147,6 +149,13 @@
             "service_time_seconds": lambda: (
                 self._server.admission.service_time_s
             ),
+            "server_limit_per_second": lambda: (
+                NO_LIMIT
+                if self._server.limit_per_s is None
+                else self._server.limit_per_s
+            ),
+            "server_requests_sent": lambda: float(self._server.sent_requests),
+            "server_retries_sent": lambda: float(self._server.sent_retries),
             "members_reachable": lambda: float(
                 sum(member.reachable for member in self._table)
             ),
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -10,6 +10,7 @@
 from lycheestair import errors
 from lycheestair import ids
 from lycheestair import messages
+from lycheestair import server_limits
 from lycheestair.sidecar import admission as admission_lib
 from lycheestair.sidecar import backend
 from lycheestair.sidecar import budget
@@ -58,6 +59,10 @@
       departures: Departures that this node has acknowledged, also before a
         restart.
       on_departure: Called when a departure has been acknowledged.
+      limit_per_s: Requests per second that the backend server accepts, as it
+        said in its latest response; None if it named no limit.
+      sent_requests: Requests sent to the backend server.
+      sent_retries: Retries among them.
     """
 
     def __init__(
@@ -74,6 +79,9 @@
         self.failed_dependency_calls = dependencies.FailedDependencyCalls()
         self.departures = departures_lib.Departures()
         self.on_departure: Callable[[], None] = lambda: None
+        self.limit_per_s: float | None = None
+        self.sent_requests = 0
+        self.sent_retries = 0
         self._settings = settings
         self._headers = headers
         self._budgets = budgets
@@ -126,6 +134,7 @@
         if known is None or (known.instance, known.started_ms) != incarnation:
             self._pool.close_idle()
             self.admission.reset_service_time()
+            self.limit_per_s = None
             self._failure_rate = members.FailureRate(FAILURE_RATE_WEIGHT)
         self._latest_announcement = announcement
         self._heartbeat_at = clock.read_s()
@@ -309,6 +318,8 @@
             connection.stream.write(
                 self._encode_request(endpoint, call, remaining_ms)
             )
+            self.sent_requests += 1
+            self.sent_retries += call.is_retry
             with self._answer_memory.open_account() as account:
                 async with asyncio.timeout(call.remaining_s):
                     response = await self._read_response(
@@ -316,6 +327,7 @@
                     )
             keep_alive = response.keep_alive and not connection.stream.unsent
             connection.update_max_idle(response)
+            self._apply_limit(response, endpoint)
             return self._classify_response(response, endpoint)
         except TimeoutError:
             return calls.Refusal(errors.ErrorKind.TIMEOUT, reached=True)
@@ -374,6 +386,46 @@
                 break
         raise messages.MalformedMessageError("answer to another request")
 
+    def _apply_limit(
+        self, answer: http1.Response, endpoint: members.Endpoint
+    ) -> None:
+        """Applies the limit in a response; one without a limit ends it."""
+        value = answer.find_header(self._headers.limit)
+        if (
+            endpoint is not self.endpoint
+            or answer.status == MISDIRECTED_REQUEST_STATUS
+            # Not every error response is written by the server's application.
+            or (
+                value is None
+                and answer.find_header(self._headers.signature) is None
+            )
+        ):
+            return
+        try:
+            limit_per_s = (
+                None if value is None else server_limits.parse_limit(value)
+            )
+        except ValueError as error:
+            self._log.write(
+                "server limit ignored",
+                instance=endpoint.instance,
+                error=str(error),
+            )
+            return
+        if limit_per_s == self.limit_per_s:
+            return
+        self._log.write(
+            "server limit changed",
+            instance=endpoint.instance,
+            limit_per_s=limit_per_s,
+            earlier_per_s=self.limit_per_s,
+            running=self.admission.running,
+            waiting=self.admission.waiting,
+            sent_requests=self.sent_requests,
+            sent_retries=self.sent_retries,
+        )
+        self.limit_per_s = limit_per_s
+
     def _classify_response(
         self, answer: http1.Response, endpoint: members.Endpoint
     ) -> calls.Outcome:
