Show that servers get more requests than the limit that they name

Four tests play real nodes over sockets: one limited server beside one with room, all servers limited, the node beside the limited server restarted twice, and the request path of the product's nodes. Each checks every span of 4 s.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -278,6 +278,7 @@
       received_requests: Requests received for this instance.
       cancelled_requests: Number of requests whose connection ended while they
         ran.
+      extra_headers: Added to the responses.
       handler_override: Called with the request and the stream instead of
         running the request, None to run it.
     """
@@ -298,6 +299,7 @@
         self.received_requests = []
         self.running = 0
         self.cancelled_requests = 0
+        self.extra_headers = []
         self.handler_override = None
         self._sequence = 0
         self._listener = None
@@ -396,6 +398,7 @@
                     ),
                     (STAMP_HEADER, self.instance.encode()),
                     (b"keep-alive", b"timeout=10"),
+                    *self.extra_headers,
                 ],
                 body,
             ),
--- a/tests/request_support.py
+++ b/tests/request_support.py
@@ -250,18 +250,24 @@
         if self.server is not None:
             self.server.close()
         self.server = ScriptedServer(allocate_host(), script)
-        document = {
+        self.announcement = {
             "service": service,
             "version": version,
             "address": self.server.address,
             "slots": slots,
         }
-        response = call(self.local, "PUT", "/endpoint", json.dumps(document))
-        assert response.status == 200, response.data
+        self.announce()
         for node in self.cluster.nodes:
             node.data_plane._endpoint_table.rebuild()
         return self.server
 
+    def announce(self):
+        """Sends a heartbeat of the backend server."""
+        response = call(
+            self.local, "PUT", "/endpoint", json.dumps(self.announcement)
+        )
+        assert response.status == 200, response.data
+
 
 class Cluster:
     """Nodes that share the members, the claims and the configuration."""
--- /dev/null
+++ b/tests/test_server_limits.py
@@ -0,0 +1,160 @@
+"""Limits that backend servers name for the requests of all nodes together."""
+
+import asyncio
+import time
+
+import platform_world
+import request_support
+
+# A server may get 1.5 times its limit and 5 requests in any span of 4 s, from
+# the time at which the nodes must have applied it.
+SPAN_S, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
+APPLIED_AFTER_S = 1.0
+LOAD_S = APPLIED_AFTER_S + SPAN_S + 0.5
+LIMIT_PER_S = 5
+
+
+def run_scenario(scenario):
+    """Runs a scenario in a new event loop, with a timeout."""
+    asyncio.run(asyncio.wait_for(scenario(), 40))
+
+
+def count_most_in_span(times, since):
+    """Returns the most requests in a span of SPAN_S that begins after `since`."""
+    times = sorted(at for at in times if at >= since)
+    return max(
+        (sum(at <= other < at + SPAN_S for other in times) for at in times),
+        default=0,
+    )
+
+
+def assert_within_limit(times, named_at, limit_per_s=LIMIT_PER_S):
+    most = count_most_in_span(times, named_at + APPLIED_AFTER_S)
+    assert most <= LIMIT_FACTOR * SPAN_S * limit_per_s + LIMIT_SLACK
+
+
+def list_arrivals(instance):
+    return [
+        received.at for received in instance.backend_server.received_requests
+    ]
+
+
+def name_limit(instance, limit=b"%d" % LIMIT_PER_S):
+    """Makes the backend server of an instance name a limit in its answers."""
+    instance.backend_server.extra_headers = [(b"server-limit", limit)]
+
+
+async def send_load(entries, path="/order/1", rate_per_s=20, load_s=LOAD_S):
+    """Sends requests to each entry; returns (response, seconds) of each."""
+
+    async def send_timed(entry):
+        started_at = time.monotonic()
+        response = await entry.request(path, b"POST")
+        return response, time.monotonic() - started_at
+
+    tasks = []
+    for number in range(int(load_s * rate_per_s)):
+        if number % rate_per_s == 0:
+            for entry in entries:
+                await entry.backend_server.announce()
+        tasks += [asyncio.create_task(send_timed(entry)) for entry in entries]
+        await asyncio.sleep(1 / rate_per_s)
+    return await asyncio.gather(*tasks)
+
+
+def test_limit_holds_over_all_nodes_and_excess_goes_to_a_server_with_room():
+    """Guards against LIMIT: a server gets more than it named."""
+
+    async def scenario():
+        async with platform_world.run(
+            ("n1", "desk"), ("n2", "desk"), ("n3", "press"), ("n4", "press")
+        ) as world:
+            limited = world.instances[0]
+            name_limit(limited)
+            named_at = time.monotonic()
+            answers = await send_load(world.instances)
+            assert_within_limit(list_arrivals(limited), named_at)
+            assert {response.status for response, _ in answers} == {200}
+
+    run_scenario(scenario)
+
+
+def test_excess_is_refused_at_once_if_all_servers_are_at_their_limits():
+    """Guards against LIMIT, and against excess that waits for its deadline."""
+
+    async def scenario():
+        async with platform_world.run(
+            ("n1", "desk"), ("n2", "desk"), ("n3", "press")
+        ) as world:
+            limited = world.instances[:2]
+            for instance in limited:
+                name_limit(instance)
+            named_at = time.monotonic()
+            answers = await send_load(world.instances)
+            for instance in limited:
+                assert_within_limit(list_arrivals(instance), named_at)
+            refused = [
+                (response, taken_s)
+                for response, taken_s in answers
+                if response.status != 200
+            ]
+            assert {response.status for response, _ in refused} == {503}
+            # The objective of the route is 0.5 s.
+            assert max(taken_s for _, taken_s in refused) < 0.5
+            served = len(answers) - len(refused)
+            assert served >= 0.8 * 2 * LIMIT_PER_S * LOAD_S
+
+    run_scenario(scenario)
+
+
+def test_restart_of_the_node_beside_a_limited_server_exceeds_no_limit():
+    """Guards against LIMIT by a node that has lost the limit in a restart."""
+
+    async def scenario():
+        async with platform_world.run(
+            ("n1", "desk"), ("n2", "press"), ("n3", "press")
+        ) as world:
+            limited, *others = world.instances
+            name_limit(limited)
+            named_at = time.monotonic()
+            load = asyncio.create_task(send_load(others, load_s=LOAD_S + 1))
+            for pause_s in (1.5, 1.0):
+                await asyncio.sleep(pause_s)
+                await limited.backend_server.announce()
+                limited.node.stop()
+                await asyncio.sleep(0.2)
+                await limited.start_node()
+                await limited.backend_server.announce()
+            await load
+            assert_within_limit(list_arrivals(limited), named_at)
+            assert list_arrivals(limited)[-1] > time.monotonic() - 1.0
+
+    run_scenario(scenario)
+
+
+def test_limit_of_a_backend_server_holds_over_all_nodes_of_the_product():
+    """Guards against LIMIT on the request path of the product's nodes."""
+    arrivals = []
+
+    def answer(request):
+        arrivals.append(time.monotonic())
+        return request_support.make_response(
+            request, headers=b"x-lycheestair-limit: %d\r\n" % LIMIT_PER_S
+        )
+
+    with request_support.Cluster(("a1", "a1", "a2")) as cluster:
+        first, second, _ = cluster.nodes
+        first.serve(answer)
+        second.serve(request_support.make_response)
+        named_at = time.monotonic()
+        statuses = []
+        while time.monotonic() < named_at + LOAD_S:
+            first.announce()
+            second.announce()
+            statuses += [
+                request_support.call(node.caller, "POST", "/write", b"x").status
+                for node in cluster.nodes
+            ]
+            time.sleep(0.02)
+        assert_within_limit(arrivals, named_at)
+        assert set(statuses) == {200}
