Drain a backend server that says in a response that it is leaving

The serving node drains its server at the first such response and records the departure, which its cell remembers over a restart of the node. An earlier heartbeat of the same incarnation doesn't bring it back; the next incarnation is used. All requests of a server pass through the node beside it, so that no entry node has to know. A malformed value is ignored and logged.

--- a/src/lycheestair/platform/requests.py
+++ b/src/lycheestair/platform/requests.py
@@ -19,6 +19,7 @@
     signature=b"x-server-stamp",
     load=b"x-server-load",
     limit=b"server-limit",
+    leaving=b"server-leaving",
 )
 READINESS_PATH: Final = "/-/readiness"
 
--- a/src/lycheestair/sidecar/backend.py
+++ b/src/lycheestair/sidecar/backend.py
@@ -53,6 +53,7 @@
       load: On a response: running requests, waiting requests and slots.
       limit: On a response: requests per second that the backend server accepts
         from all nodes together.
+      leaving: On a response: b"1" if the backend server is about to stop.
     """
 
     request_id: bytes
@@ -63,3 +64,4 @@
     signature: bytes
     load: bytes
     limit: bytes
+    leaving: bytes
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -39,6 +39,7 @@
 # read. They are copied once for the entry node and once for its client.
 ANSWER_MEMORY_RATIO: Final = 0.2
 MISDIRECTED_REQUEST_STATUS: Final = 421
+LEAVING: Final = b"1"
 MIN_SERVER_ERROR_STATUS: Final = 500
 # Smallest deadline that is sent to the backend server. A call with less time
 # left is refused, because the backend server must stop before the node times
@@ -90,6 +91,8 @@
         # first response of the same instance.
         self._earlier_limit: server_limits.InstanceLimit | None = None
         self._has_answered = False
+        # Instance and start of a backend server that said that it is leaving.
+        self._leaving_incarnation: tuple[str, int] | None = None
         self._latest_announcement: backend.Announcement | None = None
         self._heartbeat_at = 0.0
         # Latest start in Unix milliseconds of deregistered incarnations, by
@@ -132,6 +135,10 @@
         ):
             # The heartbeat was delayed and arrived after the departure.
             return True
+        if incarnation == self._leaving_incarnation:
+            announcement = dataclasses.replace(
+                announcement, state=backend.BackendState.DRAINING
+            )
         if announcement.state is backend.BackendState.DRAINING:
             self._add_departure(announcement.instance, announcement.started_ms)
         if known is None or (known.instance, known.started_ms) != incarnation:
@@ -361,6 +368,7 @@
             keep_alive = response.keep_alive and not connection.stream.unsent
             connection.update_max_idle(response)
             self._apply_limit(response, endpoint)
+            self._apply_leaving(response, endpoint)
             return self._classify_response(response, endpoint)
         except TimeoutError:
             return calls.Refusal(errors.ErrorKind.TIMEOUT, reached=True)
@@ -461,6 +469,34 @@
         self.admission.apply_limit(limit_per_s)
         self.on_limit_change()
 
+    def _apply_leaving(
+        self, answer: http1.Response, endpoint: members.Endpoint
+    ) -> None:
+        """Drains a backend server that says that it is leaving."""
+        value = answer.find_header(self._headers.leaving)
+        announced = self._latest_announcement
+        if (
+            value is None
+            or announced is None
+            or endpoint is not self.endpoint
+            or endpoint.state is not backend.BackendState.SERVING
+            or answer.status == MISDIRECTED_REQUEST_STATUS
+        ):
+            return
+        if value.strip() != LEAVING:
+            self._log.write(
+                "leaving header ignored",
+                instance=endpoint.instance,
+                value=value[:32].decode("latin-1"),
+            )
+            return
+        self._leaving_incarnation = (announced.instance, announced.started_ms)
+        self._add_departure(announced.instance, announced.started_ms)
+        self._set_endpoint(
+            dataclasses.replace(endpoint, state=backend.BackendState.DRAINING),
+            "response says leaving",
+        )
+
     def _classify_response(
         self, answer: http1.Response, endpoint: members.Endpoint
     ) -> calls.Outcome:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -339,6 +339,58 @@
     run_scenario(scenario)
 
 
+def knows_server(instance, name):
+    """Whether a node has a backend server of another node to choose."""
+    member = instance.node._table.find(name)
+    return member is not None and member.reachable and member.endpoint
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+def test_server_that_says_leaving_in_a_response_gets_no_more_requests(
+    restarted,
+):
+    """Guards against requests to a server whose heartbeat is late or delayed."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk"), ("n3", "press")) as world:
+            first, third = world.instances
+            server = first.backend_server
+            server.extra_headers = [(b"server-leaving", b"perhaps")]
+            assert (await third.request()).status == 200
+            assert first.node._server.endpoint.state.value == "serving"
+            server.extra_headers = [(b"server-leaving", b"1")]
+            assert (await third.request()).status == 200
+            assert first.node._server.endpoint.state.value == "draining"
+            await world.add("n2", "desk")
+            peer = third.node._table.find("n1")
+            await platform_world.wait_for(lambda: peer.departures)
+            for instance in world.instances:
+                await platform_world.wait_for(
+                    functools.partial(knows_server, instance, "n2")
+                )
+            if restarted:
+                first.node.stop()
+                await asyncio.sleep(0.1)
+                await first.start_node()
+                await platform_world.wait_for(first.is_ready)
+                await platform_world.wait_for(
+                    lambda: first.node._server.departures
+                )
+            # A heartbeat that was sent before the response.
+            assert await server.announce() == 200
+            for _ in range(10):
+                for instance in world.instances:
+                    assert (await instance.request()).status == 200
+            assert len(server.received_requests) == 2
+            # The next incarnation is used again.
+            server.extra_headers = []
+            server.started_ms = 2_000
+            assert await server.announce() == 200
+            assert first.node._server.endpoint.state.value == "serving"
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize(
     "changes",
     [
