Tell a restarted node the limit that entry nodes have seen

A node that restarts learns the limit of its server from the nodes of its cell. If these were killed with it, its server got as many requests as it has slots before its first response named the limit again, while the entry nodes in other cells, which had passed on such responses, are still bound by it. At a limit of 1 or 2 a second these requests alone exceed what is allowed.

Entry nodes now remember the limit from the responses that they pass on and send it first when they reach the restarted node; of several limits the lowest counts until the server answers.

--- a/src/lycheestair/server_limits.py
+++ b/src/lycheestair/server_limits.py
@@ -19,12 +19,18 @@
 MAX_START_INTERVAL_S: Final = 4.0
 
 
-def parse_limit(value: bytes) -> float:
+def parse_limit(value: bytes | None) -> float | None:
     """Returns the requests per second that a header value allows.
 
+    Args:
+      value: The value, None if the response has no such header and thus no
+        limit.
+
     Raises:
       ValueError: The value is not a decimal number of at least 0.
     """
+    if value is None:
+        return None
     text = value.strip()
     if not _DECIMAL_NUMBER.fullmatch(text):
         raise ValueError(f"{value[:32]!r} is not a limit")
--- a/src/lycheestair/serving.py
+++ b/src/lycheestair/serving.py
@@ -219,9 +219,7 @@
             return
         value = response.find_header(calls.LIMIT_HEADER)
         try:
-            limit_per_s = (
-                None if value is None else server_limits.parse_limit(value)
-            )
+            limit_per_s = server_limits.parse_limit(value)
         except ValueError as error:
             logging.warning("limit of the backend server ignored: %s", error)
             return
--- a/src/lycheestair/sidecar/backend.py
+++ b/src/lycheestair/sidecar/backend.py
@@ -4,6 +4,7 @@
 import enum
 
 from lycheestair import ids
+from lycheestair.sidecar import http1
 
 
 class BackendState(enum.Enum):
@@ -65,3 +66,15 @@
     load: bytes
     limit: bytes
     leaving: bytes
+
+
+def tells_limit(response: http1.Response, headers: HeaderNames) -> bool:
+    """Returns whether a response says which limit its server has, if any.
+
+    An error response without a signature may come from something in front of
+    the backend server, and ends no limit.
+    """
+    return (
+        response.find_header(headers.limit) is not None
+        or response.find_header(headers.signature) is not None
+    )
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -8,6 +8,7 @@
 from lycheestair import errors
 from lycheestair import ids
 from lycheestair import messages
+from lycheestair import server_limits
 from lycheestair.sidecar import backend
 from lycheestair.sidecar import balancer
 from lycheestair.sidecar import budget
@@ -395,12 +396,31 @@
             self._metrics.count("forwarded", peer=member.record.node_id)
             outcome = await link.call(call)
         if isinstance(outcome, http1.Response):
+            self._note_limit(member, call.instance, outcome)
             if not outcome.dependency_failed:
                 member.record_outcome(outcome.status >= MIN_SERVER_ERROR_STATUS)
         elif outcome.reached:
             member.record_outcome(True)
         return outcome
 
+    def _note_limit(
+        self, member: members.Member, instance: str, response: http1.Response
+    ) -> None:
+        """Remembers the limit of a server, for a restart of its node."""
+        value = response.find_header(self._headers.limit)
+        if value is None and member.limit is None:
+            return
+        if not backend.tells_limit(response, self._headers):
+            return
+        with contextlib.suppress(ValueError):
+            # The serving node has logged a malformed limit.
+            limit_per_s = server_limits.parse_limit(value)
+            member.limit = (
+                None
+                if limit_per_s is None
+                else server_limits.InstanceLimit(instance, limit_per_s)
+            )
+
 
 def _is_error(outcome: calls.Outcome) -> bool:
     return (
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -216,7 +216,7 @@
             self.digests.send_initial(link)
         if self.cells.is_in_own_cell(member):
             self._send_departures(link)
-            self._send_limits(link)
+        self._send_limits(link)
         if not self.catalog.generation and member.generation:
             self.replica.fetch(member)
         elif (
@@ -364,13 +364,12 @@
             link.send(frame)
 
     def _send_limits(self, link: links.PeerLink) -> None:
-        """Sends the limit at this node, and the one known of the other."""
-        for member, limit in (
-            (self._table.own, self._serving_node.read_limit()),
-            (link.member, link.member.limit),
-        ):
-            if limit is not None:
-                link.send(self._encode_limit(member, limit))
+        """Sends the limit known of the other node and, in the cell, its own."""
+        if link.member.limit is not None:
+            link.send(self._encode_limit(link.member, link.member.limit))
+        limit = self._serving_node.read_limit()
+        if limit is not None and self.cells.is_in_own_cell(link.member):
+            link.send(self._encode_limit(self._table.own, limit))
 
     @staticmethod
     def _encode_limit(
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -87,9 +87,9 @@
         self._budgets = budgets
         self._log = log
         self._failure_rate = members.FailureRate(FAILURE_RATE_WEIGHT)
-        # Limit that was known before a restart of this node, used until the
-        # first response of the same instance.
-        self._earlier_limit: server_limits.InstanceLimit | None = None
+        # Limits by instance that other nodes remember from before a restart of
+        # this node, used until the first response of the instance.
+        self._earlier_limits: dict[str, float] = {}
         self._has_answered = False
         # Instance and start of a backend server that said that it is leaving.
         self._leaving_incarnation: tuple[str, int] | None = None
@@ -145,6 +145,8 @@
             self._pool.close_idle()
             self.admission.reset()
             self._has_answered = False
+            if known is not None:
+                self._earlier_limits.clear()
             self._failure_rate = members.FailureRate(FAILURE_RATE_WEIGHT)
         self._latest_announcement = announcement
         self._apply_earlier_limit()
@@ -187,26 +189,31 @@
         return server_limits.InstanceLimit(self.endpoint.instance, limit_per_s)
 
     def restore_limit(self, limit: server_limits.InstanceLimit | None) -> None:
-        """Applies the limit that this node knew before its restart."""
-        self._earlier_limit = limit
+        """Applies a limit that another node remembers from before a restart.
+
+        Of several limits, the lowest is applied.
+        """
+        if limit is None:
+            return
+        self._earlier_limits[limit.instance] = min(
+            limit.limit_per_s,
+            self._earlier_limits.get(limit.instance, limit.limit_per_s),
+        )
         self._apply_earlier_limit()
 
     def _apply_earlier_limit(self) -> None:
-        announced, limit = self._latest_announcement, self._earlier_limit
-        if (
-            announced is None
-            or limit is None
-            or self._has_answered
-            or announced.instance != limit.instance
-        ):
+        announced = self._latest_announcement
+        if announced is None or self._has_answered:
+            return
+        limit_per_s = self._earlier_limits.get(announced.instance)
+        if limit_per_s is None or limit_per_s == self.admission.limit_per_s:
             return
         self._log.write(
             "server limit restored",
-            instance=limit.instance,
-            limit_per_s=limit.limit_per_s,
+            instance=announced.instance,
+            limit_per_s=limit_per_s,
         )
-        self._earlier_limit = None
-        self.admission.apply_limit(limit.limit_per_s)
+        self.admission.apply_limit(limit_per_s)
 
     def _deregister(self, announcement: backend.Announcement) -> None:
         known = self._latest_announcement
@@ -435,17 +442,11 @@
         if (
             endpoint is not self.endpoint
             or answer.status == MISDIRECTED_REQUEST_STATUS
-            # Not every error response is written by the server's application.
-            or (
-                value is None
-                and answer.find_header(self._headers.signature) is None
-            )
+            or not backend.tells_limit(answer, self._headers)
         ):
             return
         try:
-            limit_per_s = (
-                None if value is None else server_limits.parse_limit(value)
-            )
+            limit_per_s = server_limits.parse_limit(value)
         except ValueError as error:
             self._log.write(
                 "server limit ignored",
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -149,11 +149,14 @@
     assert len(list_arrivals(instance)) == before + 1
 
 
-def test_restarted_node_knows_the_limit_before_its_server_answers():
+@pytest.mark.parametrize("zone", ["a1", "b1"])
+def test_restarted_node_knows_the_limit_before_its_server_answers(zone):
     """Guards against requests in excess until the first response."""
 
     async def scenario():
-        async with platform_world.run(("n1", "desk"), ("n2", "press")) as world:
+        async with platform_world.run(
+            ("n1", "desk"), ("n2", "press", "v1", zone)
+        ) as world:
             limited, other = world.instances
             name_limit(limited)
             await request_once(limited, other)
