Close a connection after a response without a request id

It could happen here: error responses may lack the request id, and such a copy was taken as the answer to the next request on the connection. The caller got 503 with a Retry-After while the server ran the request, and a non-idempotent one could run at a second server.

Nothing follows a response without an id on its connection any more. Copies that carry an id were already told apart by it; refusing every response without an id on a kept connection was tried and would answer 502 to requests that a server without ids has truly refused.

The four cases without an id fail before (503 for a request that ran).

A response whose head breaks off, after any line or within one, gets 502: two more cases of test_only_the_complete_matching_response_is_delivered passed before.

--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -372,7 +372,13 @@
                     response = await self._read_response(
                         connection.stream, call, account
                     )
-            keep_alive = response.keep_alive and not connection.stream.unsent
+            # A response without an id can't be told from a second copy of it,
+            # so nothing may follow on its connection.
+            keep_alive = (
+                response.keep_alive
+                and not connection.stream.unsent
+                and response.find_header(self._headers.request_id) is not None
+            )
             connection.update_max_idle(response)
             self._apply_limit(response, endpoint)
             self._apply_leaving(response, endpoint)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -490,6 +490,17 @@
     stream.close()
 
 
+async def respond_with_part_of_the_head(backend_server, request, stream):
+    stream.write(b"HTTP/1.1 200 OK\r\nx-server-stamp: i-n1\r\nconte")
+    stream.close()
+
+
+async def respond_with_head_lines_only(backend_server, request, stream):
+    data = backend_server.encode(request, b"own")
+    stream.write(data[: data.index(b"\r\n\r\n") + 2])
+    stream.close()
+
+
 async def respond_unsigned(backend_server, request, stream):
     stream.write(
         backend_server.encode(request, b"own").replace(
@@ -516,6 +527,8 @@
         (respond_without_length, 200, b"own"),
         (respond_with_garbage, 502, None),
         (respond_truncated, 502, None),
+        (respond_with_part_of_the_head, 502, None),
+        (respond_with_head_lines_only, 502, None),
         (respond_unsigned, 502, None),
         (close_without_response, 502, None),
     ],
@@ -550,6 +563,55 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("status", [429, 503])
+@pytest.mark.parametrize("has_id", [True, False])
+@pytest.mark.parametrize("answers", [True, False])
+def test_refusal_that_is_written_again_answers_no_other_request(
+    status, has_id, answers
+):
+    """Guards against 'not run' for a request that a server has run or runs."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk"), ("n2", "press")) as world:
+            limited, entry = world.instances
+            server = limited.backend_server
+            refusals = {}
+            run_ids = []
+
+            async def handle(request, stream):
+                request_id = request.find_header(b"x-request-id")
+                if stream in refusals:
+                    run_ids.append(request_id)
+                    stream.write(refusals[stream])
+                    if answers:
+                        stream.write(server.encode(request))
+                    return
+                headers = [(b"x-not-executed", b"1")]
+                if has_id:
+                    headers.append((b"x-request-id", request_id))
+                refusals[stream] = http1.encode_response(
+                    http1.Response(status, headers, b""), request.method, True
+                )
+                stream.write(refusals[stream])
+
+            server.handler_override = handle
+            for number in range(4):
+                request_id = platform_world.make_id()
+                response = await entry.request(
+                    f"/order/{number}",
+                    b"POST",
+                    deadline_ms=700,
+                    request_id=request_id,
+                )
+                assert count_executions(world, request_id) == 1
+                expected = {503}
+                if request_id in run_ids:
+                    expected = {200} if answers else {502, 504}
+                assert response.status in expected
+
+    run_scenario(scenario)
+
+
 def test_request_refused_by_a_server_is_retried_on_another():
     """Guards against refusals while another backend server has slots."""
 
