Close a connection after a refusal without a request id, on the nodes' path

The product's nodes had the fault of the sidecar's: a server that wrote an earlier refusal once more on a kept connection made the caller of the next request get 503 'not-run' although the server ran it. A refusal is marked by its execution header and needn't carry a request id; after one without an id, the connection is closed. Refusals of peers carry the id and keep their connections.

--- a/src/lycheestair/forwarding.py
+++ b/src/lycheestair/forwarding.py
@@ -10,6 +10,7 @@
 from urllib3 import exceptions
 
 from lycheestair import calls
+from lycheestair import error_responses
 from lycheestair import errors
 from lycheestair import ids
 from lycheestair import messages
@@ -132,6 +133,14 @@
                     errors.ErrorKind.ANSWER_INCOMPLETE,
                     "answer belongs to another request",
                 )
+            if (
+                echoed_id is None
+                and response.find_header(error_responses.EXECUTION_HEADER)
+                is not None
+            ):
+                # A second copy would be taken for the refusal of the next
+                # request.
+                reusable = False
             return response
         except TimeoutError:
             return errors.Failure(errors.ErrorKind.TIMEOUT)
--- a/tests/features/requests.feature
+++ b/tests/features/requests.feature
@@ -53,6 +53,15 @@
     Then the client gets 200 none none
     And the response belongs to the last request
 
+  Scenario: A refusal that is written again answers no other request
+    # Checks the invariants true_not_run and own_whole_answer.
+    Given a node whose backend server writes its refusal again
+    When a client sends write
+    And a client sends write
+    And a client sends write
+    Then the client gets 503 refused_by_server not-run
+    And the backend server ran no request
+
   Scenario: A request with a key runs once and its response is replayed
     Given a node whose backend server responds
     When a client sends write with key k1
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -32,6 +32,8 @@
         self.threads = []
         self.results = {}
         self.request_count = 0
+        self.refused_connections = 0
+        self.run_count = 0
 
     def never_answer(self, request):
         self.released.wait(support.WAIT_S)
@@ -45,6 +47,15 @@
             time.sleep(TIMEOUT_MS / 1000 + 0.2)
         return support.make_response(request)
 
+    def refuse_once_for_each_connection(self, request):
+        refusal = support.make_response(request, 503, NOT_RUN)
+        count = len(self.server.connections)
+        if count > self.refused_connections:
+            self.refused_connections = count
+            return refusal
+        self.run_count += 1
+        return refusal + support.make_response(request)
+
     def call_once(self, request):
         if request.path == "/write":
             self.nested_responses.append(
@@ -91,6 +102,7 @@
                 r, 200, b"x-lycheestair-error: overloaded\r\n"
             ),
             "responds late to the first request": self.answer_first_late,
+            "writes its refusal again": self.refuse_once_for_each_connection,
             "calls the route read once": self.call_once,
             "calls itself recursively": self.call_recursively,
             "waits until it is released": self.wait_and_answer,
@@ -247,6 +259,11 @@
     assert len(world.cluster.nodes[1].server.received_requests) == runs
 
 
+@then("the backend server ran no request")
+def _(world):
+    assert world.run_count == 0
+
+
 @then("the response belongs to the last request")
 def _(world):
     assert world.response.data == f"body {world.request_count}".encode()
