Refuse late requests that a shutdown would cut off, and accept the others

Report of another operator: in a planned stop, requests that came late in the grace period were passed on and cut at its end, among them non-idempotent ones.

Nodes of the product accepted requests on open connections until the drain timeout; one that was still running then ended with a closed connection. On the sidecar, entry nodes refused everything in the second half of the grace period, but the serving node accepted calls of nodes that did not know of the stop until its end: their clients got 502. Both now accept a request in the second half only if its deadline is before the end; until then any, because most take far less than their deadline and clients of this node have no other. The decision is one module, shutdowns, for both paths.

Found on the way: calls that the local backend server makes for a request that is running were refused in the second half as well, so that the request failed. They have short deadlines and are accepted now.

Ruled out: refusing by deadline from the start of the stop (routes with long deadlines would lose requests that end in time).

Before: 502 in {200, 502} of the peer test, 'Remote end closed connection' in the product's, 503 instead of 200 for the request in progress.

--- a/src/lycheestair/data_plane.py
+++ b/src/lycheestair/data_plane.py
@@ -186,7 +186,10 @@
         Returns:
           Whether all requests were completed within the drain timeout.
         """
-        deadline = time.monotonic() + self._settings.requests.drain_timeout_s
+        timeout_s = self._settings.requests.drain_timeout_s
+        started_at = time.monotonic()
+        deadline = started_at + timeout_s
+        self._proxy.shutdown.begin(started_at, timeout_s)
         self._caller_listener.close_listener()
         completed = self._serving_node.drain(deadline - time.monotonic())
         self._endpoint_table.rebuild()
--- a/src/lycheestair/proxy.py
+++ b/src/lycheestair/proxy.py
@@ -18,6 +18,7 @@
 from lycheestair import routing
 from lycheestair import serving
 from lycheestair import settings as settings_lib
+from lycheestair import shutdowns
 from lycheestair import suspects as suspects_lib
 
 FIRST_SERVER_ERROR_STATUS: Final = 500
@@ -40,7 +41,13 @@
 
 
 class Proxy:
-    """Handles client requests that arrive on the caller listener."""
+    """Handles client requests that arrive on the caller listener.
+
+    Attributes:
+      ready: Whether requests are accepted.
+      routes: Routes of the configuration in force, None if there is none.
+      shutdown: Tells which requests are accepted while the node shuts down.
+    """
 
     def __init__(
         self,
@@ -55,6 +62,7 @@
     ):
         self.ready = False
         self.routes: routing.RoutingTable | None = None
+        self.shutdown = shutdowns.Shutdown()
         self._max_depth = settings.requests.max_depth
         self._retry_budget = retries.RetryBudget(settings.requests)
         self._version_chooser = version_chooser
@@ -108,6 +116,8 @@
             return errors.Failure(errors.ErrorKind.DEPTH_EXCEEDED)
         if call.remaining_s <= 0:
             return errors.Failure(errors.ErrorKind.DEADLINE_TOO_SHORT)
+        if not self.shutdown.accepts(call.deadline, received_at):
+            return errors.Failure(errors.ErrorKind.NOT_READY, "shutting down")
         if self._suspects.classify(call) is suspects_lib.Verdict.REFUSE:
             return errors.Failure(errors.ErrorKind.SUSPECT)
         key = request.find_header(calls.IDEMPOTENCY_KEY_HEADER)
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -9,6 +9,7 @@
 from lycheestair import ids
 from lycheestair import messages
 from lycheestair import server_limits
+from lycheestair import shutdowns
 from lycheestair.sidecar import backend
 from lycheestair.sidecar import balancer
 from lycheestair.sidecar import budget
@@ -49,7 +50,6 @@
 
     Attributes:
       in_progress: Number of requests being processed.
-      closing: Whether new requests are refused because of a shutdown.
     """
 
     def __init__(
@@ -61,11 +61,11 @@
         planner: versions_lib.VersionPlanner,
         server: serving.ServingNode,
         budgets: budget.RetryBudgets,
+        shutdown: shutdowns.Shutdown,
         log: event_log.EventLog,
         node_metrics: metrics.Metrics,
     ):
         self.in_progress = 0
-        self.closing = False
         self._settings = settings
         # Connections from this address are made by the local backend server.
         self._backend_host = streams.split_address(settings.server_address)[0]
@@ -84,6 +84,7 @@
         self._balancer = balancer.Balancer(table, planner, random.Random())
         self._splits = splits.SplitSelector()
         self._serving_node = server
+        self._shutdown = shutdown
         self._log = log
         self._metrics = node_metrics
         self._budgets = budgets
@@ -217,7 +218,7 @@
         route = None
         tried: list[str] = []
         outcome: calls.Outcome
-        if not catalog.generation or self.closing:
+        if not catalog.generation:
             outcome = calls.Refusal(errors.ErrorKind.NOT_READY)
         else:
             route = catalog.match(request.host, request.path)
@@ -226,7 +227,12 @@
             else:
                 call = self._create_call(request, request_id, route, arrived_at)
                 call.own = from_local_backend
-                outcome = await self._send_with_retries(call, route, tried)
+                if self._shutdown.accepts(call.deadline, arrived_at):
+                    outcome = await self._send_with_retries(call, route, tried)
+                else:
+                    outcome = calls.Refusal(
+                        errors.ErrorKind.NOT_READY, "shutting down"
+                    )
         if from_local_backend and _is_error(outcome):
             self._serving_node.failed_dependency_calls.add()
         self._report_outcome(
--- a/src/lycheestair/sidecar/node.py
+++ b/src/lycheestair/sidecar/node.py
@@ -8,6 +8,7 @@
 
 from lycheestair import ids
 from lycheestair import messages
+from lycheestair import shutdowns
 from lycheestair.sidecar import backend
 from lycheestair.sidecar import budget
 from lycheestair.sidecar import clock
@@ -28,9 +29,6 @@
 # The node keeps listening for this long after SIGTERM. Readiness is checked
 # every second, and clients stop sending after two failed checks.
 MIN_DRAIN_S: Final = 2.6
-# Fraction of the drain time during which new requests are accepted; the rest is
-# for requests in progress.
-ACCEPT_RATIO: Final = 0.5
 # Reserved at the end of the grace period for the exit of the process.
 EXIT_MARGIN_S: Final = 0.3
 DRAIN_POLL_S: Final = 0.05
@@ -110,6 +108,7 @@
         self._server.on_endpoint_change = self._gossip.publish_status
         self._server.on_departure = self._gossip.publish_departures
         self._server.on_limit_change = self._gossip.publish_limit
+        self._shutdown = shutdowns.Shutdown()
         self._entry_node = entry.EntryNode(
             settings,
             platform.headers,
@@ -118,11 +117,13 @@
             self._planner,
             self._server,
             budgets,
+            self._shutdown,
             self._log,
             self._metrics,
         )
         self._peer_server = peer_server.PeerServer(
             self._server,
+            self._shutdown,
             self._gossip.build_hello_frames,
             self._gossip.add_record,
             self._gossip.handle_frame,
@@ -229,8 +230,8 @@
     async def shut_down(self) -> None:
         """Drains the node: finishes requests, then closes idle connections.
 
-        Requests that still arrive are answered for a part of the grace period
-        and refused after that.
+        Requests that arrive meanwhile are accepted or refused as
+        `shutdowns.Shutdown` decides.
         """
         started_at = clock.read_s()
         self._gossip.leaving = True
@@ -242,8 +243,8 @@
             peer_calls=self._peer_server.running,
         )
         limit_s = self._settings.bounds.grace_s - EXIT_MARGIN_S
+        self._shutdown.begin(started_at, limit_s)
         while (elapsed_s := clock.read_s() - started_at) < limit_s:
-            self._entry_node.closing = elapsed_s > limit_s * ACCEPT_RATIO
             if (
                 elapsed_s > MIN_DRAIN_S
                 and not self._entry_node.in_progress
--- a/src/lycheestair/sidecar/peer_server.py
+++ b/src/lycheestair/sidecar/peer_server.py
@@ -9,6 +9,7 @@
 from lycheestair import errors
 from lycheestair import ids
 from lycheestair import messages
+from lycheestair import shutdowns
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import event_log
@@ -53,6 +54,7 @@
     def __init__(
         self,
         server: serving.ServingNode,
+        shutdown: shutdowns.Shutdown,
         build_hello_frames: Callable[[], list[frames.Frame]],
         on_hello: Callable[[members.NodeRecord], members.Member | None],
         on_frame: links.FrameHandler,
@@ -62,12 +64,14 @@
 
         Args:
           server: Executes the calls.
+          shutdown: Tells which calls are accepted.
           build_hello_frames: Returns the frames sent in response to HELLO.
           on_hello: Returns the member for a record, or None to refuse it.
           on_frame: Handles frames that do not belong to calls.
           log: Log of the node.
         """
         self._serving_node = server
+        self._shutdown = shutdown
         self._build_hello_frames = build_hello_frames
         self._on_hello = on_hello
         self._on_frame = on_frame
@@ -157,14 +161,17 @@
         call = calls.decode_call(fields)
         running = _ReceivedCall(stream, key[2])
         self._calls[key] = running
-        running.task = asyncio.get_running_loop().create_task(
-            self._serving_node.run(call)
-        )
+        running.task = asyncio.get_running_loop().create_task(self._run(call))
         # Also called for a task that is cancelled before it starts.
         running.task.add_done_callback(
             lambda task: self._finish(key, running, call, task)
         )
 
+    async def _run(self, call: calls.Call) -> calls.Outcome:
+        if not self._shutdown.accepts(call.deadline, clock.read_s()):
+            return calls.Refusal(errors.ErrorKind.DRAINING, "shutting down")
+        return await self._serving_node.run(call)
+
     def _finish(
         self,
         key: _CallKey,
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -959,6 +959,65 @@
     run_scenario(scenario)
 
 
+def test_call_that_can_not_end_before_the_node_does_is_not_run():
+    """Guards against calls that a planned stop cuts off without an answer."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk"), ("n2", "press")) as world:
+            first, second = world.instances
+            first.backend_server.work_s = 0.8
+            # The other node doesn't learn that this one is leaving.
+            first.node._gossip.publish_status = lambda: None
+            request_tasks = []
+
+            async def send_requests():
+                while True:
+                    request_tasks.append(
+                        asyncio.create_task(second.request("/order/1", b"POST"))
+                    )
+                    await asyncio.sleep(0.25)
+
+            shutdown_task = asyncio.create_task(first.node.shut_down())
+            sending_task = asyncio.create_task(send_requests())
+            while not shutdown_task.done():
+                await first.backend_server.announce()
+                await asyncio.wait([shutdown_task], timeout=0.5)
+            first.node.stop()
+            sending_task.cancel()
+            responses = await asyncio.gather(*request_tasks)
+            assert {response.status for response in responses} <= {200, 503}
+            assert 200 in {response.status for response in responses}
+
+    run_scenario(scenario)
+
+
+def test_calls_of_running_requests_are_accepted_until_the_node_ends():
+    """Guards against requests that fail because their calls are refused."""
+
+    async def scenario():
+        async with platform_world.run(*THREE_NODES) as world:
+            first, _, third = world.instances
+            third.backend_server.work_s = 0.1
+            first.backend_server.work_s = 1.3
+            shutdown_task = asyncio.create_task(first.node.shut_down())
+            await asyncio.sleep(2.5)
+            running = [asyncio.create_task(first.request("/order/1", b"POST"))]
+            await asyncio.sleep(0.8)
+            running += [asyncio.create_task(first.request("/order/2", b"POST"))]
+            await third.backend_server.announce()
+            await asyncio.sleep(1.2)
+            response = await first.call("/press/1", b"POST", deadline_ms=500)
+            assert response.status == 200
+            # Its deadline is after the end of the grace period.
+            response = await first.request("/press/2", b"POST")
+            assert response.status == 503
+            for response in await asyncio.gather(*running):
+                assert response.status == 200
+            await shutdown_task
+
+    run_scenario(scenario)
+
+
 def test_overload_is_refused_at_once_with_retry_after():
     """Guards against queueing requests that can't be served in time."""
 
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -1,13 +1,16 @@
 """Guards traffic shares, retry budget, routing, admission and balancing."""
 
+from concurrent import futures
 import dataclasses
 import threading
+import time
 
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 import pytest
 import request_support as support
+import urllib3
 
 from lycheestair import admission
 from lycheestair import calls
@@ -327,3 +330,48 @@
 def test_expired_grant_is_not_valid():
     call = support.make_call(grant=support.make_grant("k", "f", -1.0))
     assert not call.can_start
+
+
+def test_request_that_would_outlast_a_draining_node_is_refused():
+    """Guards against requests that a planned stop cuts off."""
+
+    draining = threading.Event()
+
+    def answer(request):
+        time.sleep(0.8 if draining.is_set() else 0.0)
+        return support.make_response(request)
+
+    with support.Cluster(
+        ("a1", "a2"),
+        support.make_default_routes(timeout_ms=1000),
+        drain_timeout_s=1.6,
+    ) as cluster:
+        first, second = cluster.nodes
+        second.serve(answer, slots=16)
+        host, _, port = first.caller.rpartition(":")
+        connections = [
+            urllib3.connection.HTTPConnection(host, int(port))
+            for _ in range(12)
+        ]
+
+        def send(connection):
+            connection.request("POST", "/write", body=b"x")
+            return connection.getresponse()
+
+        with futures.ThreadPoolExecutor(2 * len(connections)) as executor:
+            # A draining node accepts requests on open connections alone.
+            for answered in executor.map(send, connections):
+                assert answered.status == 200
+            draining.set()
+            drained = executor.submit(first.data_plane.drain)
+            late = []
+            for connection in connections:
+                late.append(executor.submit(send, connection))
+                time.sleep(0.13)
+            drained.result()
+            first.data_plane.stop()
+            responses = [future.result() for future in late]
+        assert {response.status for response in responses} == {200, 503}
+        for response in responses:
+            if response.status == 503:
+                assert support.read_error(response)[1] == "not-run"
