Never send an earlier Retry-After than the time that is known

The jitter of Retry-After shortened it by up to a fifth. A client that is refused at the limit of a server is told when the calls that wait now have started; it came back before that and was refused again.

The jitter now only adds, up to two fifths. The test fails before (1.62 s for a time of 2 s).

--- a/src/lycheestair/sidecar/error_responses.py
+++ b/src/lycheestair/sidecar/error_responses.py
@@ -14,6 +14,9 @@
 # Retry-After if the backend server itself refused the request; it may accept
 # the next one.
 BACKEND_REFUSAL_RETRY_AFTER_S: Final = 0.05
+# Clients that were refused together return spread over the time up to this
+# factor, and none returns too early.
+MAX_JITTER_FACTOR: Final = 1.4
 
 _CLIENT_ERROR_STATUSES: Final = frozenset({400, 404, 413})
 
@@ -25,8 +28,7 @@
         if refusal.reached
         else DEFAULT_RETRY_AFTER_S
     )
-    # Jitter keeps clients that were refused together from retrying together.
-    return retry_after_s * random.uniform(0.8, 1.2)
+    return retry_after_s * random.uniform(1.0, MAX_JITTER_FACTOR)
 
 
 def create_error_response(refusal: calls.Refusal) -> http1.Response:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -7,10 +7,12 @@
 import pytest
 import request_support
 
+from lycheestair import errors
 from lycheestair import server_limits
 from lycheestair.sidecar import admission
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import error_responses
 
 # A server may get 1.5 times its limit and 5 requests in any span of 4 s, from
 # the time at which the nodes must have applied it.
@@ -229,6 +231,16 @@
     run_scenario(scenario)
 
 
+def test_retry_after_is_never_earlier_than_the_time_known():
+    """Guards against clients that return in vain, or all at once."""
+    refusal = calls.Refusal(errors.ErrorKind.OVERLOADED, retry_after_s=2.0)
+    times_s = [
+        error_responses.compute_retry_after_s(refusal) for _ in range(200)
+    ]
+    assert min(times_s) >= 2.0
+    assert max(times_s) - min(times_s) > 0.5
+
+
 @pytest.mark.parametrize("limit_per_s", [0.0, 0.4, 1.0, 3.5, 20.0, 150.0])
 def test_starts_stay_within_the_limit_at_any_rate(limit_per_s):
     """Guards every span of 4 s, also when the limit comes, goes and changes."""
