Send a limit to the cell at most every 0.3 s

A server may name another limit in each response. The node beside it sent each of them to all nodes of its cell, up to 40 frames for a request. The limit is now compared with the published one in the slow tick.

--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -99,6 +99,7 @@
         )
         self._status_sent_at = 0.0
         self._slow_tick_at = 0.0
+        self._published_limit: server_limits.InstanceLimit | None = None
         self._feeders: list[members.Member] = []
         self._feeders_selected_at = -math.inf
 
@@ -355,11 +356,13 @@
 
     # Limits of backend servers.
 
-    def publish_limit(self) -> None:
+    def _publish_limit_if_changed(self) -> None:
         """Sends the limit of this node's backend server to its cell."""
-        frame = self._encode_limit(
-            self._table.own, self._serving_node.read_limit()
-        )
+        limit = self._serving_node.read_limit()
+        if limit == self._published_limit:
+            return
+        self._published_limit = limit
+        frame = self._encode_limit(self._table.own, limit)
         for link in self.digests.list_links_in_own_cell():
             link.send(frame)
 
@@ -524,6 +527,9 @@
     def _slow_tick(self, now: float) -> None:
         self.digests.update_persistent_links(self.list_feeders())
         self.digests.expire_cells(now)
+        # Not sent at each change: a server may name another limit in every
+        # response.
+        self._publish_limit_if_changed()
         for rollout in self._planner.detect_bad_versions():
             self._log.write(
                 "bad version detected",
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -60,7 +60,6 @@
       departures: Departures that this node has acknowledged, also before a
         restart.
       on_departure: Called when a departure has been acknowledged.
-      on_limit_change: Called when the limit of the backend server has changed.
       sent_requests: Requests sent to the backend server.
       sent_retries: Retries among them.
     """
@@ -79,7 +78,6 @@
         self.failed_dependency_calls = dependencies.FailedDependencyCalls()
         self.departures = departures_lib.Departures()
         self.on_departure: Callable[[], None] = lambda: None
-        self.on_limit_change: Callable[[], None] = lambda: None
         self.sent_requests = 0
         self.sent_retries = 0
         self._settings = settings
@@ -474,7 +472,6 @@
             sent_retries=self.sent_retries,
         )
         self.admission.apply_limit(limit_per_s)
-        self.on_limit_change()
 
     def _apply_leaving(
         self, answer: http1.Response, endpoint: members.Endpoint
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -241,6 +241,33 @@
     assert max(times_s) - min(times_s) > 0.5
 
 
+def test_limit_that_changes_in_each_response_is_not_sent_each_time():
+    """Guards against traffic in the cell that grows with the requests."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk"), ("n2", "press")) as world:
+            limited, other = world.instances
+            gossip = other.node._gossip
+            apply_limit, received = gossip._apply_limit, []
+
+            def record(*arguments):
+                received.append(arguments)
+                apply_limit(*arguments)
+
+            gossip._apply_limit = record
+            started_at = time.monotonic()
+            for number in range(60):
+                name_limit(limited, b"%d" % (500 + number))
+                await request_once(limited, other)
+            taken_s = time.monotonic() - started_at
+            await platform_world.wait_for(
+                lambda: received and received[-1][2] == ["i-n1", 559.0]
+            )
+            assert len(received) <= taken_s / 0.3 + 2
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("limit_per_s", [0.0, 0.4, 1.0, 3.5, 20.0, 150.0])
 def test_starts_stay_within_the_limit_at_any_rate(limit_per_s):
     """Guards every span of 4 s, also when the limit comes, goes and changes."""
