--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -9,6 +9,7 @@
 import pytest
 from test_platform_path import run_scenario
 
+from lycheestair import shutdowns
 from lycheestair.sidecar import backend
 from lycheestair.sidecar import cells
 from lycheestair.sidecar import digests
@@ -44,7 +45,9 @@
 
         server = types.SimpleNamespace(run=run, read_load=lambda: [0, 0, 0, 0])
         log = types.SimpleNamespace(write=lambda *_, **__: None)
-        peers = peer_server.PeerServer(server, None, None, None, log)
+        peers = peer_server.PeerServer(
+            server, shutdowns.Shutdown(), None, None, None, log
+        )
         stream = types.SimpleNamespace(write=lambda data: None)
         key = ("n1", 1, 7)
         fields = [b"1", b"GET", b"/", [], b"", "d", "r", "i", True, 1, 0, 9, 9]
