--- a/src/lycheestair/data_plane.py
+++ b/src/lycheestair/data_plane.py
@@ -144,6 +144,10 @@
     def ready(self, value: bool) -> None:
         self._proxy.ready = value
 
+    def read_server_limit(self) -> float | None:
+        """Returns the requests per second that the backend server accepts."""
+        return self._serving_node.admission.limit_per_s
+
     def instrument(
         self, wrap: Callable[[str, http_server.Handler], http_server.Handler]
     ) -> None:
--- a/src/lycheestair/instruments.py
+++ b/src/lycheestair/instruments.py
@@ -97,10 +97,19 @@
     configuration: configuration_lib.ActiveConfiguration,
     membership: members_lib.Membership,
     store: store_lib.HttpStore,
+    read_server_limit: Callable[[], float | None],
 ) -> None:
-    """Creates gauges of the configuration, members, endpoints and store calls.
+    """Creates gauges of the state of a node.
 
     Their values are read whenever metrics are rendered.
+
+    Args:
+      metrics: Metrics of the node.
+      configuration: Holder of the configuration in force.
+      membership: The known nodes.
+      store: Client of the store.
+      read_server_limit: Returns the requests per second that the local backend
+        server accepts, None if it names no limit.
     """
 
     def count_members() -> Iterator[tuple[float, telemetry.Attributes]]:
@@ -143,3 +152,13 @@
         "Calls to the store since the start.",
         lambda: [(store.calls, {})],
     )
+
+    def list_server_limits() -> list[tuple[float, telemetry.Attributes]]:
+        limit_per_s = read_server_limit()
+        return [] if limit_per_s is None else [(limit_per_s, {})]
+
+    metrics.create_gauge(
+        "server_limit_per_second",
+        "Requests per second that the backend server accepts, if limited.",
+        list_server_limits,
+    )
--- a/src/lycheestair/node.py
+++ b/src/lycheestair/node.py
@@ -101,7 +101,11 @@
             instruments.RequestInstruments(self._metrics, self._tracing).wrap
         )
         instruments.create_node_gauges(
-            self._metrics, self.configuration, self.membership, self._store
+            self._metrics,
+            self.configuration,
+            self.membership,
+            self._store,
+            self._data_plane.read_server_limit,
         )
         self._suspect_exchange = suspect_exchange.SuspectExchange(
             settings,
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -177,7 +177,7 @@
     node = operator_support.OperatorNode(operator_support.make_settings())
     node.store.calls = 5
     instruments.create_node_gauges(
-        metrics, node.configuration, node.membership, node.store
+        metrics, node.configuration, node.membership, node.store, lambda: 12.5
     )
     text = metrics.render().decode()
     assert (
@@ -189,6 +189,7 @@
         'lycheestair_members{failure_domain="east-1",state="alive"} 1.0' in text
     )
     assert "lycheestair_store_calls 5.0" in text
+    assert "lycheestair_server_limit_per_second 12.5" in text
 
 
 def test_failed_handler_ends_its_span():
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -315,6 +315,34 @@
         assert set(statuses) == {200}
 
 
+def test_limit_at_the_product_changes_and_ends_with_the_responses():
+    """Guards against a limit that stays, or that a malformed value ends."""
+    header = []
+
+    def answer(request):
+        return request_support.make_response(request, headers=b"".join(header))
+
+    with request_support.Cluster(("a1",)) as cluster:
+        (node,) = cluster.nodes
+        node.serve(answer)
+        for value, expected in (
+            (b"40", 40.0),
+            (b"12.5", 12.5),
+            (b"many", 12.5),
+            (b"-1", 12.5),
+            (b"nan", 12.5),
+            (b"", 12.5),
+            (b"20", 20.0),
+            (None, None),
+        ):
+            header[:] = []
+            if value is not None:
+                header.append(b"x-lycheestair-limit: %s\r\n" % value)
+            response = request_support.call(node.caller, "POST", "/write", b"x")
+            assert response.status == 200
+            assert node.data_plane.read_server_limit() == expected, value
+
+
 def test_waiting_call_starts_though_another_arrives_at_its_turn():
     """Guards against calls that wait at a limit without a timer."""
 
