--- a/tests/soak.py
+++ b/tests/soak.py
@@ -58,6 +58,13 @@
 # SIGHUP ends a process whose interpreter has not yet run the first line of the
 # program, which no program can prevent; the platform restarts the process.
 INTERPRETER_START_S = 0.5
+# From this time after it first named a limit, a backend server gets in any span
+# at most LIMIT_FACTOR times what the limit allows and LIMIT_SLACK requests, from
+# nodes that were not disturbed since.
+LIMIT_APPLIES_AFTER_S = 3.0
+LIMIT_SPAN_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 MAX_RSS_MB = 80.0
 MAX_DESCRIPTORS = 300
 CLIENTS_PER_NODE = 3
@@ -84,6 +91,16 @@
     connection_lost: bool = False
 
 
+@dataclasses.dataclass
+class LimitedTime:
+    """A time during which a backend server named a limit."""
+
+    backend_server: "FaultyBackendServer"
+    limit_per_s: float
+    start: float
+    end: float
+
+
 class FaultyBackendServer(standins.BackendServer):
     """Backend server that injects faults and reports each run to the soak."""
 
@@ -92,10 +109,13 @@
         self.soak = soak
         self.fault = ""
         self.draining_since = float("inf")
+        # Time and id of each request, also of those that it refuses.
+        self.arrivals = []
         self.handler_override = self._run_with_fault
 
     async def _run_with_fault(self, request, stream):
         request_id = request.find_header(b"x-request-id")
+        self.arrivals.append((time.monotonic(), request_id))
         if self.fault == "shed" and self.soak.rng.random() < 0.5:
             stream.write(
                 http1.encode_response(
@@ -135,6 +155,7 @@
         self.age_at_sighup_s = 0.0
         # Start and end of each time the process was killed or paused.
         self.disturbances = []
+        self.starts = []
         self.backend_server = FaultyBackendServer(
             soak, f"{self.host}:8147", self.control, f"i-{name}", service
         )
@@ -145,6 +166,7 @@
         )
         self.exit_expected = False
         self.started_at = time.monotonic()
+        self.starts.append(self.started_at)
         self.process = subprocess.Popen(
             [sys.executable, "-m", "lycheestair.platform"],
             stdout=self.log_file,
@@ -168,6 +190,12 @@
             for first, last in self.disturbances
         )
 
+    def is_excused_from_limits(self, start, end):
+        """Whether the process was started or disturbed within a time."""
+        return any(start < at < end for at in self.starts) or any(
+            first < end and last > start for first, last in self.disturbances
+        )
+
     async def supervise(self):
         """Restarts the process whenever it ends, as the platform does."""
         while True:
@@ -202,6 +230,7 @@
         """Drains the backend server, then starts a new one in its place."""
         backend_server = self.backend_server
         backend_server.state = "draining"
+        backend_server.extra_headers = []
         with contextlib.suppress(OSError, messages.IncompleteMessageError):
             async with asyncio.timeout(1.0):
                 if await backend_server.announce() == 200:
@@ -228,6 +257,9 @@
 
     def __init__(self, seed, seconds, folder):
         self.rng = random.Random(seed)
+        # Draws of its own, so that seeds keep their other faults.
+        self.limit_rng = random.Random(f"limits {seed}")
+        self.limited_times = []
         self.seconds = seconds
         self.folder = folder
         self.store = standins.PlatformStore(platform_world.allocate_address())
@@ -272,7 +304,9 @@
                 for instance in self.instances
                 for _ in range(CLIENTS_PER_NODE)
             ]
+            limits = asyncio.create_task(self._limit_backend_servers())
             await self._inject_faults()
+            await limits
             await self._wait_until_serving(RECOVERY_S)
             self.closing = True
             await asyncio.gather(*clients)
@@ -409,6 +443,27 @@
     async def _change_config(self):
         self._write_config()
 
+    async def _limit_backend_servers(self):
+        """Lets one backend server after the other name a limit."""
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            server = self.limit_rng.choice(self.instances).backend_server
+            limit_per_s = round(self.limit_rng.uniform(0.5, 12.0), 1)
+            header = [(b"server-limit", b"%.1f" % limit_per_s)]
+            start = time.monotonic()
+            limit_until = start + self.limit_rng.uniform(4.0, 8.0)
+            server.extra_headers = header
+            # Until then, or until the server is replaced.
+            while (
+                time.monotonic() < limit_until
+                and server.extra_headers is header
+            ):
+                await asyncio.sleep(0.05)
+            server.extra_headers = []
+            self.limited_times.append(
+                LimitedTime(server, limit_per_s, start, time.monotonic())
+            )
+
     # Clients.
 
     async def _send_requests(self, instance):
@@ -534,6 +589,8 @@
                     f"{sent.id}: {sent.node} closed the connection"
                     " although the request ran"
                 )
+        for limited in self.limited_times:
+            self._check_limit(limited, by_name)
         for instance in self.instances:
             rss_mb, descriptors = instance.read_usage()
             if rss_mb > MAX_RSS_MB or descriptors > MAX_DESCRIPTORS:
@@ -542,6 +599,31 @@
                     f" {descriptors} file descriptors"
                 )
 
+    def _check_limit(self, limited, by_name):
+        entry_nodes = {
+            sent.id: by_name[sent.node] for sent in self.sent_requests
+        }
+        times = [
+            at
+            for at, request_id in limited.backend_server.arrivals
+            if limited.start + LIMIT_APPLIES_AFTER_S <= at <= limited.end
+            and request_id in entry_nodes
+            and not entry_nodes[request_id].is_excused_from_limits(
+                limited.start, at
+            )
+        ]
+        allowed = (
+            LIMIT_FACTOR * LIMIT_SPAN_S * limited.limit_per_s + LIMIT_SLACK
+        )
+        for first in times:
+            count = sum(first <= at < first + LIMIT_SPAN_S for at in times)
+            if count > allowed:
+                self.fail(
+                    f"{limited.backend_server.instance} got {count} requests"
+                    f" at a limit of {limited.limit_per_s} a second"
+                )
+                return
+
 
 def run_seed(seed, seconds, folder):
     """Runs one seed; returns the failures and the number of requests."""
