Don't say not-run of a request that an earlier attempt may have run

On the product's path an idempotent request whose first attempt ended with a 5xx response or a lost connection, and whose second server refused it, got 503 with 'not-run', and the first response was discarded.

The outcome of an attempt that may have run is now kept against later refusals. Both cases of the scenario fail before (503 instead of 500 and 502).

--- a/src/lycheestair/proxy.py
+++ b/src/lycheestair/proxy.py
@@ -2,6 +2,7 @@
 
 import time
 from typing import Final
+from typing import TypeGuard
 
 import xxhash
 
@@ -195,7 +196,7 @@
             outcome = self._attempt(call, target)
             last_outcome = _select_outcome(last_outcome, outcome)
             if not self._may_retry(call, entry, outcome):
-                return outcome
+                return last_outcome
             kind = None
             at_limit = False
             if isinstance(outcome, errors.Failure):
@@ -293,16 +294,28 @@
 
 
 def _select_outcome(earlier: Outcome | None, latest: Outcome) -> Outcome:
-    """Returns the refusal that says the earliest time, or else the latest."""
-    if (
-        isinstance(earlier, errors.Failure)
-        and isinstance(latest, errors.Failure)
-        and 0 < earlier.retry_after_s < latest.retry_after_s
-    ):
+    """Selects the outcome to return after two attempts.
+
+    A refusal that says that the request has not run would be untrue after an
+    attempt that may have run. Of two such refusals, the one that says the
+    earliest time is returned.
+    """
+    if earlier is None or not _is_not_run(latest):
+        return latest
+    if not _is_not_run(earlier):
+        return earlier
+    if 0 < earlier.retry_after_s < latest.retry_after_s:
         return earlier
     return latest
 
 
+def _is_not_run(outcome: Outcome) -> TypeGuard[errors.Failure]:
+    return (
+        isinstance(outcome, errors.Failure)
+        and outcome.response.execution is errors.Execution.NOT_RUN
+    )
+
+
 def _create_call(
     request: messages.Request,
     request_id: str,
--- a/tests/features/requests.feature
+++ b/tests/features/requests.feature
@@ -43,6 +43,17 @@
       | responds with 500         | read    | 200    | none              | none      | 1    |
       | responds with 500         | write   | 500    | none              | none      | 0    |
 
+  Scenario Outline: A refusal after an attempt that ran does not say not-run
+    # Checks the invariant true_not_run.
+    Given two nodes whose first backend server <behavior> and second refuses with not-run
+    When a client of the first node sends read
+    Then the client gets <status> <kind> <execution>
+
+    Examples:
+      | behavior                  | status | kind            | execution |
+      | responds with 500         | 500    | none            | none      |
+      | closes without a response | 502    | connection_lost | unknown   |
+
   Scenario: A late response is not returned for the next request
     # Checks the invariant own_whole_answer when a response arrives after the
     # timeout.
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -167,14 +167,14 @@
 
 @given(
     parsers.parse(
-        "two nodes whose first backend server {behavior} and second responds"
+        "two nodes whose first backend server {behavior} and second {other}"
     )
 )
-def _(world, request, behavior):
+def _(world, request, behavior, other):
     start_cluster(world, request, ["a1", "a2"])
     first, second = world.cluster.nodes
     serve(world, first, behavior, slots=1)
-    second.serve(support.make_response)
+    second.serve(world.get_script(other))
     if behavior == "has been killed":
         first.server.close()
 
