Share the verdict on a bad version between the nodes

Callers got failures of a bad version after three nodes had found it bad.

Cause: each node judges from the reports that it has received, at its own moment, and tells nobody.

A node that finds a version bad now sends its verdict with the rollout, and the others adopt it for that rollout only. Reports of rollouts have one field more; finish rollouts before nodes are upgraded.

--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -319,7 +319,9 @@
                     "invalid rollout document ignored", error=str(error)
                 )
                 continue
-            changed |= self._gossip.apply_rollout(rollout, 0.0)
+            changed |= self._gossip.apply_rollout(
+                rollout_lib.RolloutReport(rollout, 0.0)
+            )
         if changed:
             self._gossip.publish_rollouts()
 
@@ -353,8 +355,10 @@
             if self._find_feeder_rank() != 0:
                 continue
             try:
-                for rollout, age_s in self._planner.list_rollouts():
-                    await self._update_rollout_status(rollout, age_s)
+                for report in self._planner.list_rollouts():
+                    await self._update_rollout_status(
+                        report.rollout, report.age_s
+                    )
                 await self._remove_stale_records()
             except store_lib.StoreUnavailableError as error:
                 self._set_store_available(False, str(error))
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -260,7 +260,7 @@
                 self.replica.send_change(link, ids.Generation(frame[1]))
         elif frame_type == frames.FrameType.ROLLOUTS:
             changes = [
-                self.apply_rollout(*rollout_lib.decode(fields))
+                self.apply_rollout(rollout_lib.decode(fields))
                 for fields in frame[1]
             ]
             if any(changes) and not self.cells.is_in_own_cell(member):
@@ -442,25 +442,19 @@
 
     # Rollouts.
 
-    def apply_rollout(self, rollout: rollout_lib.Rollout, age_s: float) -> bool:
-        """Applies a rollout.
-
-        Args:
-          rollout: The rollout as stored.
-          age_s: Time in seconds since a node first learned of it.
-
-        Returns:
-          Whether it was newer than the known one.
-        """
-        if not self._planner.update_rollout(rollout, age_s):
+    def apply_rollout(self, report: rollout_lib.RolloutReport) -> bool:
+        """Applies a report of a rollout; returns whether it was news."""
+        if not self._planner.update_rollout(report):
             return False
+        rollout = report.rollout
         self._log.write(
             "rollout received",
             service=rollout.service,
             target=rollout.target,
             state=rollout.state.value,
             revision=rollout.revision,
-            age_ms=int(age_s * 1000),
+            age_ms=int(report.age_s * 1000),
+            bad_reason=report.bad_reason,
         )
         return True
 
@@ -480,8 +474,8 @@
         return [
             frames.FrameType.ROLLOUTS,
             [
-                rollout_lib.encode(rollout, age_s)
-                for rollout, age_s in self._planner.list_rollouts()
+                rollout_lib.encode(report)
+                for report in self._planner.list_rollouts()
             ],
         ]
 
@@ -530,10 +524,13 @@
         # Not sent at each change: a server may name another limit in every
         # response.
         self._publish_limit_if_changed()
-        for rollout in self._planner.detect_bad_versions():
+        bad_rollouts = self._planner.detect_bad_versions()
+        for rollout in bad_rollouts:
             self._log.write(
                 "bad version detected",
                 service=rollout.service,
                 version=rollout.target,
                 reason=self._planner.get_bad_reason(rollout.service),
             )
+        if bad_rollouts:
+            self.publish_rollouts()
--- a/src/lycheestair/sidecar/rollout.py
+++ b/src/lycheestair/sidecar/rollout.py
@@ -37,13 +37,23 @@
     created_revision: int
 
 
-def encode(rollout: Rollout, age_s: float) -> list[Any]:
-    """Encodes a rollout for another node.
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutReport:
+    """A rollout and what a node knows of it.
 
-    Args:
-      rollout: The rollout.
+    Attributes:
       age_s: Time in seconds since a node first learned of it.
+      bad_reason: Why a node found the new version bad, empty if none did.
     """
+
+    rollout: Rollout
+    age_s: float
+    bad_reason: str = ""
+
+
+def encode(report: RolloutReport) -> list[Any]:
+    """Encodes a report for another node."""
+    rollout = report.rollout
     return [
         rollout.service,
         rollout.target,
@@ -51,20 +61,28 @@
         rollout.state.value,
         rollout.revision,
         rollout.created_revision,
-        age_s,
+        report.age_s,
+        report.bad_reason,
     ]
 
 
-def decode(fields: list[Any]) -> tuple[Rollout, float]:
-    """Decodes a rollout and its age in seconds.
+def decode(fields: list[Any]) -> RolloutReport:
+    """Decodes a report of another node.
 
     Raises:
-      ValueError: The fields are not those of a rollout.
+      ValueError: The fields are not those of a report.
     """
-    service, target, duration_s, state, revision, created_revision, age_s = (
-        fields
-    )
-    return (
+    (
+        service,
+        target,
+        duration_s,
+        state,
+        revision,
+        created_revision,
+        age_s,
+        bad_reason,
+    ) = fields
+    return RolloutReport(
         Rollout(
             service,
             target,
@@ -74,4 +92,5 @@
             created_revision,
         ),
         age_s,
+        bad_reason,
     )
--- a/src/lycheestair/sidecar/versions.py
+++ b/src/lycheestair/sidecar/versions.py
@@ -70,23 +70,37 @@
             tuple[ids.ServiceName, ids.VersionName], float
         ] = {}
 
-    def list_rollouts(self) -> list[tuple[rollout_lib.Rollout, float]]:
-        """Returns the known rollouts and the age of each in seconds."""
+    def list_rollouts(self) -> list[rollout_lib.RolloutReport]:
+        """Returns the known rollouts."""
         now = clock.read_s()
         return [
-            (tracked.rollout, now - tracked.learned_at)
+            rollout_lib.RolloutReport(
+                tracked.rollout, now - tracked.learned_at, tracked.bad
+            )
             for tracked in self._rollouts.values()
         ]
 
-    def update_rollout(
-        self, rollout: rollout_lib.Rollout, age_s: float
-    ) -> bool:
-        """Applies an update of a rollout; returns whether it was newer.
+    def update_rollout(self, report: rollout_lib.RolloutReport) -> bool:
+        """Applies a report of a rollout; returns whether it was news.
 
-        Args:
-          rollout: The rollout as stored.
-          age_s: Time in seconds since a node first learned of it.
+        The verdict of one node binds all others, which may not have seen the
+        same evidence yet.
         """
+        rollout = report.rollout
+        is_newer = self._apply_newer(rollout, report.age_s)
+        known = self._rollouts[rollout.service]
+        if (
+            not report.bad_reason
+            or known.bad
+            or known.rollout.state in rollout_lib.FINAL_STATES
+            or known.rollout.target != rollout.target
+            or known.rollout.created_revision != rollout.created_revision
+        ):
+            return is_newer
+        known.bad = report.bad_reason
+        return True
+
+    def _apply_newer(self, rollout: rollout_lib.Rollout, age_s: float) -> bool:
         known = self._rollouts.get(rollout.service)
         learned_at = clock.read_s() - age_s
         if known is None:
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -23,6 +23,10 @@
     return rollout_lib.Rollout(SERVICE, target, 10.0, state, revision, 5)
 
 
+def make_report(rollout, age_s=0.0, bad_reason=""):
+    return rollout_lib.RolloutReport(rollout, age_s, bad_reason)
+
+
 def make_planner(*counts):
     """Returns a planner with a member per count.
 
@@ -71,7 +75,7 @@
     This may happen with few requests or a fault that all versions have.
     """
     planner = make_planner(("v1", *old), ("v2", *new))
-    planner.update_rollout(make_rollout(), 1.0)
+    planner.update_rollout(make_report(make_rollout(), 1.0))
     assert bool(planner.detect_bad_versions()) == bad
     shares = planner.compute_shares(SERVICE, ["v1", "v2"])
     assert (shares.get("v2", 0) == 0) == bad
@@ -87,7 +91,7 @@
     """
     now = clock.read_s()
     planner = make_planner(("v1", 0, 0, 0), ("v2", 0, 0, 0))
-    planner.update_rollout(make_rollout(), 0.0)
+    planner.update_rollout(make_report(make_rollout(), 0.0))
     old, new = [member.counts[0] for member in planner._table.list_others()]
     # Answers and failures per second. The new version gets few requests at
     # first; later it gets most of them, and half fail at both versions.
@@ -140,7 +144,7 @@
     """Guards against late detection: earlier successes dilute the failures."""
     now = clock.read_s()
     planner = make_planner(("v1", 0, 0, 0), ("v2", 0, 0, 0))
-    planner.update_rollout(make_rollout(), 0.0)
+    planner.update_rollout(make_report(make_rollout(), 0.0))
     old, new = [member.counts[0] for member in planner._table.list_others()]
     detected_at = None
     for second in range(1, 9):
@@ -179,7 +183,7 @@
 def test_share_follows_the_schedule_and_the_state(age_s, state, share):
     """Guards against traffic to a version that was rolled back."""
     planner = make_planner()
-    planner.update_rollout(make_rollout(state), age_s)
+    planner.update_rollout(make_report(make_rollout(state), age_s))
     shares = planner.compute_shares(SERVICE, ["v1", "v2"])
     assert shares.get("v2", 0) == pytest.approx(share)
     assert sum(shares.values()) == pytest.approx(1.0)
@@ -193,7 +197,7 @@
     planner = make_planner()
     assert set(planner.compute_shares(SERVICE, ["v1"])) == {"v1"}
     assert set(planner.compute_shares(SERVICE, ["v1", "v2"])) == {"v1"}
-    planner.update_rollout(make_rollout(), 0.0)
+    planner.update_rollout(make_report(make_rollout(), 0.0))
     assert planner.compute_shares(SERVICE, ["v1", "v2"])["v2"] < 0.1
 
 
@@ -201,11 +205,73 @@
     """Guards against a delayed message that reverts a rollback."""
     planner = make_planner()
     done = make_rollout(rollout_lib.RolloutState.ROLLED_BACK, revision=9)
-    assert planner.update_rollout(done, 0.0)
-    assert not planner.update_rollout(make_rollout(revision=7), 0.0)
+    assert planner.update_rollout(make_report(done))
+    assert not planner.update_rollout(
+        make_report(make_rollout(revision=7), 0.0)
+    )
     assert planner.find_rollout(SERVICE) is done
 
 
+def test_verdict_of_a_node_applies_to_its_rollout_only():
+    """Guards against a verdict that outlives the rollout it belongs to."""
+    planner = make_planner()
+    assert planner.update_rollout(make_report(make_rollout()))
+    verdict = make_report(make_rollout(), 1.0, "slow")
+    assert planner.update_rollout(
+        rollout_lib.decode(rollout_lib.encode(verdict))
+    )
+    assert planner.get_bad_reason(SERVICE) == "slow"
+    assert not planner.update_rollout(verdict)
+    # The same name and version, ordered once more.
+    later = rollout_lib.Rollout(
+        SERVICE, "v2", 10.0, rollout_lib.RolloutState.ORDERED, 12, 12
+    )
+    assert planner.update_rollout(make_report(later))
+    assert not planner.update_rollout(verdict)
+    assert not planner.get_bad_reason(SERVICE)
+
+
+def test_version_found_bad_by_another_node_is_not_completed(monkeypatch):
+    """Guards against a completion by a node that hasn't seen the evidence."""
+
+    async def scenario():
+        instances = (("n1", "desk"), ("n2", "desk", "v2"), ("n3", "desk"))
+        async with platform_world.run(*instances) as world:
+            planners = [instance.node._planner for instance in world.instances]
+            for planner in planners:
+                monkeypatch.setattr(planner, "detect_bad_versions", list)
+            world.store.put(
+                "rollouts",
+                "desk",
+                {"service": "desk", "target_version": "v2", "duration_s": 2},
+            )
+            await platform_world.wait_for(
+                lambda: all(planner.in_rollout for planner in planners)
+            )
+            detected = []
+
+            def detect():
+                if detected:
+                    return []
+                (tracked,) = planners[2]._rollouts.values()
+                tracked.bad = "found by n3"
+                detected.append(tracked.rollout)
+                return list(detected)
+
+            monkeypatch.setattr(planners[2], "detect_bad_versions", detect)
+
+            def read_state():
+                status = world.store.read_status("rollouts", "desk")
+                return status and status["state"]
+
+            await platform_world.wait_for(
+                lambda: read_state() in ("completed", "rolled_back")
+            )
+            assert read_state() == "rolled_back"
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
 @pytest.mark.parametrize("fault", ["none", "lost", "late", "limited"])
 @pytest.mark.parametrize("good", [True, False])
 def test_final_state_is_written_to_the_store(good, fault):
