Keep the evidence of servers that leave or restart during a rollout

A version whose servers fail and leave, or whose nodes restart, was judged by what the remaining nodes still report, so that its failures were forgotten.

Cause: the outcomes of a version were summed over the members known now.

Each node now adds up what every report has more than the one before it, and also compares all routes of the service together. The test failed on the sources before.

--- a/src/lycheestair/sidecar/evidence.py
+++ b/src/lycheestair/sidecar/evidence.py
@@ -1,7 +1,7 @@
 """Detection of a bad version by comparing its outcomes with those of others."""
 
 import collections
-from collections.abc import Mapping
+from collections.abc import Iterable
 import dataclasses
 from typing import Final
 
@@ -28,6 +28,8 @@
 # Each node sends two status reports in a window.
 RECENT_WINDOW_S: Final = 1.0
 MIN_RECENT_ANSWERS: Final = 8
+# Key of the outcomes of all routes together.
+ALL_ROUTES: Final = ids.RouteName("all routes")
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,26 +45,16 @@
     failures: int = 0
     total_latency_ms: int = 0
 
-    def add(self, count: members.RouteCount) -> None:
-        """Adds the outcomes at one backend server."""
-        self.answers += count.answers
-        self.failures += count.failures
-        self.total_latency_ms += count.total_latency_ms
-
-    def subtract(self, earlier: "OutcomeTotals") -> "OutcomeTotals":
-        """Returns the outcomes since an earlier time."""
-        return OutcomeTotals(
-            self.answers - earlier.answers,
-            self.failures - earlier.failures,
-            self.total_latency_ms - earlier.total_latency_ms,
-        )
+    def add(self, other: "OutcomeTotals | members.RouteCount") -> None:
+        """Adds further outcomes."""
+        self.answers += other.answers
+        self.failures += other.failures
+        self.total_latency_ms += other.total_latency_ms
 
     @property
     def failure_rate(self) -> float:
         """Failures divided by answers."""
-        # Totals shrink when a backend server leaves or restarts, so that a
-        # difference of two of them may be negative.
-        return self.failures / self.answers if self.answers > 0 else 0.0
+        return self.failures / self.answers if self.answers else 0.0
 
     @property
     def mean_ms(self) -> float:
@@ -70,67 +62,149 @@
         return self.total_latency_ms / self.answers if self.answers else 0.0
 
 
+class IncrementReader:
+    """Reads what members have counted since their previous reports.
+
+    Outcomes stay counted when their member leaves or restarts.
+    """
+
+    def __init__(self) -> None:
+        # Incarnation and latest counts of each member.
+        self._known: dict[
+            ids.NodeId, tuple[int, dict[ids.RouteName, members.RouteCount]]
+        ] = {}
+
+    def read(self, member: members.Member) -> list[members.RouteCount]:
+        """Returns the outcomes that are new in a member's latest report."""
+        record = member.record
+        incarnation, known = self._known.get(record.node_id, (0, {}))
+        latest = {count.route: count for count in member.counts}
+        if incarnation != record.incarnation or any(
+            route in latest and latest[route].answers < count.answers
+            for route, count in known.items()
+        ):
+            known = {}
+        if latest:
+            self._known[record.node_id] = (record.incarnation, known | latest)
+        return [
+            count.subtract(known[route]) if route in known else count
+            for route, count in latest.items()
+        ]
+
+
+@dataclasses.dataclass(slots=True)
+class _Comparison:
+    """Outcomes on a route of the new version and of the others.
+
+    Attributes:
+      recent: Time of each increment, and the increments of both sides.
+    """
+
+    new: OutcomeTotals = dataclasses.field(default_factory=OutcomeTotals)
+    others: OutcomeTotals = dataclasses.field(default_factory=OutcomeTotals)
+    recent: collections.deque[tuple[float, OutcomeTotals, OutcomeTotals]] = (
+        dataclasses.field(default_factory=collections.deque)
+    )
+
+    def add(
+        self, now: float, new: OutcomeTotals, others: OutcomeTotals
+    ) -> None:
+        self.new.add(new)
+        self.others.add(others)
+        self.recent.append((now, new, others))
+        while self.recent[0][0] <= now - RECENT_WINDOW_S:
+            self.recent.popleft()
+
+    def sum_recent(self, window_s: float) -> "_Comparison":
+        """Returns the outcomes within a window that ends now."""
+        result = _Comparison()
+        start = clock.read_s() - window_s
+        for at, new, others in self.recent:
+            if at > start:
+                result.new.add(new)
+                result.others.add(others)
+        return result
+
+
 class Evidence:
     """Outcomes of the versions of a service during a rollout."""
 
     def __init__(self) -> None:
-        # Time of each sample, and the totals of the new version and of the
-        # others at that time.
-        self._samples: dict[
-            ids.RouteName,
-            collections.deque[tuple[float, OutcomeTotals, OutcomeTotals]],
-        ] = {}
+        self._comparisons: dict[ids.RouteName, _Comparison] = {}
 
-    def find_fault(
+    def add(
         self,
-        new: Mapping[ids.RouteName, OutcomeTotals],
-        others: Mapping[ids.RouteName, OutcomeTotals],
-    ) -> str:
-        """Returns what is wrong with the new version, empty if nothing is.
+        new: Iterable[members.RouteCount],
+        others: Iterable[members.RouteCount],
+    ) -> None:
+        """Adds outcomes that were reported since the previous call.
 
         Args:
-          new: Outcomes of the new version since the start of the rollout.
-          others: Outcomes of the other versions since then.
+          new: Outcomes of the new version.
+          others: Outcomes of the other versions.
         """
-        for route, totals in new.items():
-            other_totals = others.get(route, OutcomeTotals())
-            is_common = self._is_common_failure(route, totals, other_totals)
-            fault = _find_failures(route, totals, other_totals)
-            if fault and not is_common:
-                return fault
-            fault = _find_slowness(route, totals, other_totals)
+        now = clock.read_s()
+        new_by_route = _sum_by_route(new)
+        others_by_route = _sum_by_route(others)
+        for route in (
+            self._comparisons.keys()
+            | new_by_route.keys()
+            | others_by_route.keys()
+        ):
+            self._comparisons.setdefault(route, _Comparison()).add(
+                now,
+                new_by_route.get(route, OutcomeTotals()),
+                others_by_route.get(route, OutcomeTotals()),
+            )
+
+    def find_fault(self) -> str:
+        """Returns what is wrong with the new version, empty if nothing is."""
+        faults = (
+            self._find_fault_on_route(route, comparison)
+            for route, comparison in self._comparisons.items()
+            if comparison.new.answers
+        )
+        return next(filter(None, faults), "")
+
+    def _find_fault_on_route(
+        self, route: ids.RouteName, comparison: _Comparison
+    ) -> str:
+        if not _is_common_failure(comparison):
+            fault = _find_failures(route, comparison)
             if fault:
                 return fault
-        return ""
+        if route == ALL_ROUTES:
+            # The versions may have different shares of slow routes.
+            return ""
+        return _find_slowness(route, comparison.new, comparison.others)
 
-    def _is_common_failure(
-        self, route: ids.RouteName, new: OutcomeTotals, others: OutcomeTotals
-    ) -> bool:
-        """Whether the other versions have failed as often recently.
 
-        A fault of a dependency affects all versions alike. Once the new version
-        has most of the requests, totals over the whole rollout would attribute
-        the failures to it, so only recent outcomes are compared.
-        """
-        now = clock.read_s()
-        samples = self._samples.setdefault(route, collections.deque())
-        samples.append((now, new, others))
-        while len(samples) > 1 and samples[1][0] <= now - RECENT_WINDOW_S:
-            samples.popleft()
-        _, new_at_start, others_at_start = samples[0]
-        recent_others = others.subtract(others_at_start)
-        if (
-            recent_others.answers < MIN_RECENT_ANSWERS
-            or not recent_others.failures
-        ):
-            return False
-        limit = FAILURE_FACTOR * recent_others.failure_rate
-        return new.subtract(new_at_start).failure_rate <= limit
+def _sum_by_route(
+    counts: Iterable[members.RouteCount],
+) -> dict[ids.RouteName, OutcomeTotals]:
+    totals: dict[ids.RouteName, OutcomeTotals] = {}
+    for count in counts:
+        for route in (count.route, ALL_ROUTES):
+            totals.setdefault(route, OutcomeTotals()).add(count)
+    return totals
 
 
-def _find_failures(
-    route: ids.RouteName, new: OutcomeTotals, others: OutcomeTotals
-) -> str:
+def _is_common_failure(comparison: _Comparison) -> bool:
+    """Whether the other versions have failed as often recently.
+
+    A fault of a dependency affects all versions alike. Once the new version
+    has most of the requests, totals over the whole rollout would attribute
+    the failures to it, so only recent outcomes are compared.
+    """
+    recent = comparison.sum_recent(RECENT_WINDOW_S)
+    if recent.others.answers < MIN_RECENT_ANSWERS or not recent.others.failures:
+        return False
+    limit = FAILURE_FACTOR * recent.others.failure_rate
+    return recent.new.failure_rate <= limit
+
+
+def _find_failures(route: ids.RouteName, comparison: _Comparison) -> str:
+    new, others = comparison.new, comparison.others
     limit = max(MIN_FAILURE_RATE, FAILURE_FACTOR * others.failure_rate)
     if new.failures < MIN_FAILURES or new.failure_rate <= limit:
         return ""
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -109,6 +109,15 @@
     failures: int
     total_latency_ms: int
 
+    def subtract(self, earlier: "RouteCount") -> "RouteCount":
+        """Returns the outcomes since an earlier count of the same route."""
+        return RouteCount(
+            self.route,
+            self.answers - earlier.answers,
+            self.failures - earlier.failures,
+            self.total_latency_ms - earlier.total_latency_ms,
+        )
+
 
 class FailureRate:
     """Exponential moving average of failures that also decays over time."""
--- a/src/lycheestair/sidecar/versions.py
+++ b/src/lycheestair/sidecar/versions.py
@@ -53,6 +53,9 @@
     evidence: evidence_lib.Evidence = dataclasses.field(
         default_factory=evidence_lib.Evidence
     )
+    increments: evidence_lib.IncrementReader = dataclasses.field(
+        default_factory=evidence_lib.IncrementReader
+    )
 
 
 class VersionPlanner:
@@ -231,20 +234,18 @@
 
     def _find_fault(self, tracked: _TrackedRollout) -> str:
         rollout = tracked.rollout
-        new: dict[ids.RouteName, evidence_lib.OutcomeTotals] = {}
-        others: dict[ids.RouteName, evidence_lib.OutcomeTotals] = {}
+        new: list[members.RouteCount] = []
+        others: list[members.RouteCount] = []
         for member in self._table:
             endpoint = member.endpoint
             if endpoint is None or endpoint.service != rollout.service:
                 continue
             if member.rollout_created_revision < rollout.created_revision:
                 continue
-            totals = new if endpoint.version == rollout.target else others
-            for count in member.counts:
-                totals.setdefault(
-                    count.route, evidence_lib.OutcomeTotals()
-                ).add(count)
-        return tracked.evidence.find_fault(new, others)
+            side = new if endpoint.version == rollout.target else others
+            side.extend(tracked.increments.read(member))
+        tracked.evidence.add(new, others)
+        return tracked.evidence.find_fault()
 
 
 def compute_completion_s(duration_s: float) -> float:
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -1,6 +1,7 @@
 """Rollouts on the platform: good versions complete, bad ones roll back."""
 
 import asyncio
+import dataclasses
 
 import platform_standins as standins
 import platform_world
@@ -161,6 +162,26 @@
     assert detected_at == 5
 
 
+def test_outcomes_of_servers_that_left_still_count():
+    """Guards against evidence that is lost with the node that reported it."""
+    planner = make_planner(
+        ("v1", 300, 3, 30000), ("v2", 5, 2, 500), ("v2", 5, 0, 500)
+    )
+    planner.update_rollout(make_report(make_rollout()))
+    assert not planner.detect_bad_versions()
+    _, failing, restarted = planner._table.list_others()
+    planner._table.remove(failing.record.node_id)
+    assert not planner.detect_bad_versions()
+    # The counts of a node begin again after its restart.
+    planner._table.add(dataclasses.replace(restarted.record, incarnation=2))
+    restarted.endpoint = members.Endpoint(
+        "i9", SERVICE, "v2", 4, members.backend.BackendState.SERVING
+    )
+    restarted.rollout_created_revision = 5
+    restarted.counts = (members.RouteCount(ROUTE, 6, 2, 600),)
+    assert planner.detect_bad_versions()
+
+
 def add_outcomes(count, answers, failures):
     return members.RouteCount(
         ROUTE,
