Find failures of a new version that begin late

Cause: failures are compared over the whole rollout, so that the successes before the fault hide it until 12% of all answers have failed.

The failures of the last 2 s are now compared too; at least five, above 20% and 2.5 times the rate of the other versions.

--- a/src/lycheestair/sidecar/evidence.py
+++ b/src/lycheestair/sidecar/evidence.py
@@ -15,6 +15,11 @@
 MIN_FAILURES: Final = 4
 MIN_FAILURE_RATE: Final = 0.12
 FAILURE_FACTOR: Final = 2.5
+# The same for the failures of the last RECENT_FAILURES_WINDOW_S. Fewer outcomes
+# are compared, so more of them must have failed.
+MIN_RECENT_FAILURES: Final = 5
+MIN_RECENT_FAILURE_RATE: Final = 0.2
+RECENT_FAILURES_WINDOW_S: Final = 2.0
 # A version is also bad if, on any route, its mean latency is above both
 # MIN_SLOW_MS and SLOW_FACTOR times that of the other versions, with at least
 # MIN_SLOW_ANSWERS answers on both sides. The latencies of backend servers of
@@ -112,7 +117,7 @@
         self.new.add(new)
         self.others.add(others)
         self.recent.append((now, new, others))
-        while self.recent[0][0] <= now - RECENT_WINDOW_S:
+        while self.recent[0][0] <= now - RECENT_FAILURES_WINDOW_S:
             self.recent.popleft()
 
     def sum_recent(self, window_s: float) -> "_Comparison":
@@ -170,7 +175,9 @@
         self, route: ids.RouteName, comparison: _Comparison
     ) -> str:
         if not _is_common_failure(comparison):
-            fault = _find_failures(route, comparison)
+            fault = _find_failures(route, comparison) or _find_recent_failures(
+                route, comparison
+            )
             if fault:
                 return fault
         if route == ALL_ROUTES:
@@ -214,6 +221,20 @@
     )
 
 
+def _find_recent_failures(route: ids.RouteName, comparison: _Comparison) -> str:
+    """Finds failures that the successes before them would hide."""
+    new = comparison.sum_recent(RECENT_FAILURES_WINDOW_S).new
+    others = comparison.others
+    limit = max(MIN_RECENT_FAILURE_RATE, FAILURE_FACTOR * others.failure_rate)
+    if new.failures < MIN_RECENT_FAILURES or new.failure_rate <= limit:
+        return ""
+    return (
+        f"{new.failures} of {new.answers} requests failed on {route} in"
+        f" {RECENT_FAILURES_WINDOW_S} s, {others.failures} of"
+        f" {others.answers} for the other versions since the start"
+    )
+
+
 def _find_slowness(
     route: ids.RouteName, new: OutcomeTotals, others: OutcomeTotals
 ) -> str:
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -162,6 +162,27 @@
     assert detected_at == 5
 
 
+def test_late_failures_are_found_within_a_second(monkeypatch):
+    """Guards against a fault that the successes before it hide for seconds."""
+    now = clock.read_s()
+    planner = make_planner(("v1", 300, 3, 30000), ("v2", 300, 3, 30000))
+    planner.update_rollout(make_report(make_rollout()))
+    assert not planner.detect_bad_versions()
+    old, new = [member.counts[0] for member in planner._table.list_others()]
+    for tenth in range(1, 11):
+        at = now + 3.0 + tenth / 10
+        monkeypatch.setattr(clock, "read_s", lambda at=at: at)
+        old = add_outcomes(old, 12, 0)
+        new = add_outcomes(new, 9, 3)
+        for member, count in zip(
+            planner._table.list_others(), (old, new), strict=True
+        ):
+            member.counts = (count,)
+        if planner.detect_bad_versions():
+            return
+    pytest.fail("not found")
+
+
 def test_outcomes_of_servers_that_left_still_count():
     """Guards against evidence that is lost with the node that reported it."""
     planner = make_planner(
