Bound the requests that a bad version gets over the whole rollout

Callers got failures of a bad version that turned bad late.

Cause: the share follows a schedule of time only. It rises to 45% at 58% of the duration and to 90% at 66%, and the rollout completes at 80%, so that the last steps spend several times what a bad version may get, and nothing is compared any more in the last fifth. The comment on SHARE_SCHEDULE claimed otherwise. Ruled out: retries and overflow. The balancer replaces a version only by one of at least the same share, and the model, which has neither, shows the same.

The new module exposure decides the share from what the version has got at all nodes: a small one until 1.3 s before the rollout is due, then all requests, so that even a version that is never found bad gets about what is allowed, at 16 s and more; with 10 s a fault that begins in the last second is not found in time. While the version takes over, reports are sent every 0.2 s and compared every 0.1 s.

--- a/src/lycheestair/platform/settings.py
+++ b/src/lycheestair/platform/settings.py
@@ -89,6 +89,7 @@
         retry_allowance=read("retry_budget_slack", default.retry_allowance),
         retry_window_s=read("budget_window_s", default.retry_window_s),
         exposure_share=read("exposure_share", default.exposure_share),
+        exposure_slack=read("exposure_slack", default.exposure_slack),
     )
 
 
--- a/src/lycheestair/sidecar/evidence.py
+++ b/src/lycheestair/sidecar/evidence.py
@@ -137,6 +137,21 @@
     def __init__(self) -> None:
         self._comparisons: dict[ids.RouteName, _Comparison] = {}
 
+    @property
+    def new_answers(self) -> int:
+        """Outcomes of the new version."""
+        return self._all_routes.new.answers
+
+    @property
+    def all_answers(self) -> int:
+        """Outcomes of all versions."""
+        both = self._all_routes
+        return both.new.answers + both.others.answers
+
+    @property
+    def _all_routes(self) -> _Comparison:
+        return self._comparisons.get(ALL_ROUTES, _Comparison())
+
     def add(
         self,
         new: Iterable[members.RouteCount],
--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -11,6 +11,7 @@
 from lycheestair import ids
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import event_log
+from lycheestair.sidecar import exposure
 from lycheestair.sidecar import gossip as gossip_lib
 from lycheestair.sidecar import members
 from lycheestair.sidecar import rollout as rollout_lib
@@ -371,7 +372,7 @@
         state = rollout_lib.RolloutState.RUNNING
         if self._planner.get_bad_reason(rollout.service):
             state = rollout_lib.RolloutState.ROLLED_BACK
-        elif age_s > versions_lib.compute_completion_s(
+        elif age_s > exposure.compute_completion_s(
             rollout.duration_s
         ) and rollout.target in self._table.list_versions(rollout.service):
             state = rollout_lib.RolloutState.COMPLETED
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -34,6 +34,8 @@
 # Load changes within tenths of a second, but responses to calls report it too,
 # so statuses may be sent less often.
 STATUS_INTERVAL_S: Final = 0.5
+# The same while a new version is about to take over.
+CRITICAL_STATUS_INTERVAL_S: Final = 0.2
 # With more peers than this in the cell, the status interval grows in
 # proportion, so that the number of statuses received per second stays constant.
 MAX_PEERS_AT_FULL_STATUS_RATE: Final = 15
@@ -499,7 +501,10 @@
     def _tick(self, now: float) -> None:
         self._serving_node.check_heartbeat()
         self._table.own.report_load(*self._serving_node.read_load())
-        status_interval_s = STATUS_INTERVAL_S * max(
+        is_critical = self._planner.is_critical
+        status_interval_s = (
+            CRITICAL_STATUS_INTERVAL_S if is_critical else STATUS_INTERVAL_S
+        ) * max(
             1.0,
             len(self.cells.list_members(self.cells.own_cell))
             / MAX_PEERS_AT_FULL_STATUS_RATE,
@@ -517,6 +522,8 @@
         if now - self._slow_tick_at >= SLOW_TICK_INTERVAL_S:
             self._slow_tick_at = now
             self._slow_tick(now)
+        elif is_critical:
+            self._detect_bad_versions()
 
     def _slow_tick(self, now: float) -> None:
         self.digests.update_persistent_links(self.list_feeders())
@@ -524,6 +531,9 @@
         # Not sent at each change: a server may name another limit in every
         # response.
         self._publish_limit_if_changed()
+        self._detect_bad_versions()
+
+    def _detect_bad_versions(self) -> None:
         bad_rollouts = self._planner.detect_bad_versions()
         for rollout in bad_rollouts:
             self._log.write(
--- a/src/lycheestair/sidecar/settings.py
+++ b/src/lycheestair/sidecar/settings.py
@@ -16,6 +16,7 @@
       retry_window_s: Length in seconds of the window for counting retries.
       exposure_share: Fraction of a service's requests that a bad version may
         receive.
+      exposure_slack: Requests that it may receive in addition.
     """
 
     grace_s: float = 6.0
@@ -23,6 +24,7 @@
     retry_allowance: float = 50.0
     retry_window_s: float = 10.0
     exposure_share: float = 0.1
+    exposure_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lycheestair/sidecar/versions.py
+++ b/src/lycheestair/sidecar/versions.py
@@ -7,32 +7,11 @@
 from lycheestair import ids
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import evidence as evidence_lib
+from lycheestair.sidecar import exposure
 from lycheestair.sidecar import members
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import settings as settings_lib
 
-# Steps of the new version's traffic share, as (start, multiple). The start is a
-# fraction of the rollout's duration; the multiple applies to the exposure that
-# the operator allows. The first step is long enough to expose faults that
-# appear late. Even if a version turns bad only at the last step, the traffic
-# that it has received until then stays below the allowed exposure.
-SHARE_SCHEDULE: Final = (
-    (0.0, 0.7),
-    (0.48, 2.0),
-    (0.58, 4.5),
-)
-# The old versions keep a small share in the last step, so that faults which
-# all versions have in common can still be told from those of the new version.
-LAST_STEP_START: Final = 0.66
-LAST_STEP_SHARE: Final = 0.9
-# A rollout usually ends at this fraction of its duration.
-COMPLETION_POINT: Final = 0.8
-# The old backend servers are stopped at the end of a rollout. Their requests
-# get this time to finish after the new version has received the full share.
-# If COMPLETION_POINT is too early for that, the rollout ends later, but not
-# after LATEST_COMPLETION_POINT. A rollout too short even for that skips steps.
-MIN_FULL_SHARE_S: Final = 1.0
-LATEST_COMPLETION_POINT: Final = 0.95
 # A new version without a rollout gets no requests for this long while other
 # versions serve: the rollout may not have arrived at this node yet.
 VERSION_WITHOUT_ROLLOUT_DELAY_S: Final = 3.0
@@ -66,7 +45,7 @@
     """
 
     def __init__(self, bounds: settings_lib.Bounds, table: members.MemberTable):
-        self._exposure_share = bounds.exposure_share
+        self._bounds = bounds
         self._table = table
         self._rollouts: dict[ids.ServiceName, _TrackedRollout] = {}
         self._first_seen: dict[
@@ -145,6 +124,19 @@
             for tracked in self._rollouts.values()
         )
 
+    @property
+    def is_critical(self) -> bool:
+        """Whether a fault of a new version must be found within tenths of a second."""
+        now = clock.read_s()
+        return any(
+            not tracked.bad
+            and tracked.rollout.state not in rollout_lib.FINAL_STATES
+            and exposure.is_critical(
+                now - tracked.learned_at, tracked.rollout.duration_s
+            )
+            for tracked in self._rollouts.values()
+        )
+
     def get_bad_reason(self, service: ids.ServiceName) -> str:
         """Returns why the new version was found bad, empty if it was not."""
         tracked = self._rollouts.get(service)
@@ -178,15 +170,16 @@
             return 1.0
         if state is rollout_lib.RolloutState.ROLLED_BACK or tracked.bad:
             return 0.0
-        elapsed_s = clock.read_s() - tracked.learned_at
-        duration_s = max(0.1, tracked.rollout.duration_s)
-        if elapsed_s >= compute_completion_s(duration_s) - MIN_FULL_SHARE_S:
-            return 1.0
-        progress = elapsed_s / duration_s
-        if progress >= LAST_STEP_START:
-            return LAST_STEP_SHARE
-        multiple = max(m for start, m in SHARE_SCHEDULE if progress >= start)
-        return min(1.0, multiple * self._exposure_share)
+        evidence = tracked.evidence
+        return exposure.compute_share(
+            exposure.RolloutProgress(
+                clock.read_s() - tracked.learned_at,
+                max(0.1, tracked.rollout.duration_s),
+                evidence.new_answers,
+                evidence.all_answers,
+            ),
+            self._bounds,
+        )
 
     @staticmethod
     def _split_evenly(
@@ -246,12 +239,3 @@
             side.extend(tracked.increments.read(member))
         tracked.evidence.add(new, others)
         return tracked.evidence.find_fault()
-
-
-def compute_completion_s(duration_s: float) -> float:
-    """Returns when a good version's rollout ends, in seconds from its start."""
-    planned_s = max(
-        duration_s * COMPLETION_POINT,
-        duration_s * LAST_STEP_START + MIN_FULL_SHARE_S,
-    )
-    return min(planned_s, duration_s * LATEST_COMPLETION_POINT)
