Find a version of which half of the answers are slow

Cause: a mean hides it. Half of the answers four times slower raise the mean 2.5 times, below SLOW_FACTOR 3.0, which the spread between sound servers needs.

Nodes now report histograms of latencies during a rollout, and the answers of the new version are compared with those of the others in the same span of time, so that a busy second doesn't count against it. Answers during the warm-up that heartbeats announce don't count. Reports have one field more.

--- a/src/lycheestair/sidecar/evidence.py
+++ b/src/lycheestair/sidecar/evidence.py
@@ -3,10 +3,12 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+import math
 from typing import Final
 
 from lycheestair import ids
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import latencies as latencies_lib
 from lycheestair.sidecar import members
 
 # A version is bad if, on any route, it has at least MIN_FAILURES failures and
@@ -27,6 +29,17 @@
 MIN_SLOW_ANSWERS: Final = 8
 SLOW_FACTOR: Final = 3.0
 MIN_SLOW_MS: Final = 100.0
+# A version is also bad if clearly more than MAX_SLOW_RATE of its answers, on a
+# route or in all, are slower than SLOW_QUANTILE of the answers that the other
+# versions gave at the same time. Clearly means by SLOW_CONFIDENCE standard
+# deviations. Answers are compared in spans of at least MIN_SPAN_S in which the
+# others have given at least MIN_REFERENCE_ANSWERS.
+SLOW_QUANTILE: Final = 0.9
+MAX_SLOW_RATE: Final = 0.18
+SLOW_CONFIDENCE: Final = 2.2
+MIN_COMPARED_ANSWERS: Final = 16
+MIN_SPAN_S: Final = 1.0
+MIN_REFERENCE_ANSWERS: Final = 20
 # Failures of the new version don't count if, within this window, its failure
 # rate is at most FAILURE_FACTOR times that of the other versions. The others
 # must have failed at least once and given at least MIN_RECENT_ANSWERS answers.
@@ -49,12 +62,16 @@
     answers: int = 0
     failures: int = 0
     total_latency_ms: int = 0
+    latencies: latencies_lib.Histogram = dataclasses.field(
+        default_factory=latencies_lib.Histogram
+    )
 
     def add(self, other: "OutcomeTotals | members.RouteCount") -> None:
         """Adds further outcomes."""
         self.answers += other.answers
         self.failures += other.failures
         self.total_latency_ms += other.total_latency_ms
+        self.latencies.update(dict(other.latencies))
 
     @property
     def failure_rate(self) -> float:
@@ -67,6 +84,73 @@
         return self.total_latency_ms / self.answers if self.answers else 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class SlowAnswers:
+    """Answers of the new version, compared with those of the others.
+
+    Attributes:
+      compared: Answers that were compared.
+      slow: Those slower than SLOW_QUANTILE of the others' answers.
+    """
+
+    compared: int = 0
+    slow: int = 0
+
+    def add(self, other: "SlowAnswers") -> None:
+        """Adds further answers."""
+        self.compared += other.compared
+        self.slow += other.slow
+
+    def find_fault(self, route: ids.RouteName) -> str:
+        """Returns what is wrong, empty if nothing is or too little is known."""
+        if self.compared < MIN_COMPARED_ANSWERS:
+            return ""
+        # Lower limit of the Wilson interval of the rate.
+        rate = self.slow / self.compared
+        z2 = SLOW_CONFIDENCE**2 / self.compared
+        deviation = SLOW_CONFIDENCE * math.sqrt(
+            rate * (1 - rate) / self.compared + z2 / (4 * self.compared)
+        )
+        if (rate + z2 / 2 - deviation) / (1 + z2) <= MAX_SLOW_RATE:
+            return ""
+        return (
+            f"{self.slow} of {self.compared} answers on {route} were slower"
+            f" than {SLOW_QUANTILE:.0%} of those of the other versions"
+        )
+
+
+class _LatencyComparison:
+    """Compares the latencies of a route in spans of time."""
+
+    def __init__(self) -> None:
+        self._span_started_at = clock.read_s()
+        self._new = latencies_lib.Histogram()
+        self._others = latencies_lib.Histogram()
+
+    def add(
+        self,
+        now: float,
+        new: latencies_lib.Histogram,
+        others: latencies_lib.Histogram,
+    ) -> SlowAnswers:
+        """Adds answers; returns those of the span if it ends."""
+        self._new.update(new)
+        self._others.update(others)
+        if (
+            now - self._span_started_at < MIN_SPAN_S
+            or self._others.total() < MIN_REFERENCE_ANSWERS
+        ):
+            return SlowAnswers()
+        bucket = latencies_lib.find_quantile_bucket(self._others, SLOW_QUANTILE)
+        result = SlowAnswers(
+            self._new.total(), latencies_lib.count_above(self._new, bucket)
+        )
+        self._span_started_at = now
+        self._new.clear()
+        self._others.clear()
+        return result
+
+
 class IncrementReader:
     """Reads what members have counted since their previous reports.
 
@@ -103,6 +187,7 @@
 
     Attributes:
       recent: Time of each increment, and the increments of both sides.
+      slow_answers: Answers of the new version whose latency was compared.
     """
 
     new: OutcomeTotals = dataclasses.field(default_factory=OutcomeTotals)
@@ -110,6 +195,10 @@
     recent: collections.deque[tuple[float, OutcomeTotals, OutcomeTotals]] = (
         dataclasses.field(default_factory=collections.deque)
     )
+    slow_answers: SlowAnswers = dataclasses.field(default_factory=SlowAnswers)
+    latencies: _LatencyComparison = dataclasses.field(
+        default_factory=_LatencyComparison
+    )
 
     def add(
         self, now: float, new: OutcomeTotals, others: OutcomeTotals
@@ -150,7 +239,7 @@
 
     @property
     def _all_routes(self) -> _Comparison:
-        return self._comparisons.get(ALL_ROUTES, _Comparison())
+        return self._comparisons.setdefault(ALL_ROUTES, _Comparison())
 
     def add(
         self,
@@ -171,11 +260,16 @@
             | new_by_route.keys()
             | others_by_route.keys()
         ):
-            self._comparisons.setdefault(route, _Comparison()).add(
-                now,
-                new_by_route.get(route, OutcomeTotals()),
-                others_by_route.get(route, OutcomeTotals()),
-            )
+            comparison = self._comparisons.setdefault(route, _Comparison())
+            new_totals = new_by_route.get(route, OutcomeTotals())
+            other_totals = others_by_route.get(route, OutcomeTotals())
+            comparison.add(now, new_totals, other_totals)
+            if route != ALL_ROUTES:
+                slow_answers = comparison.latencies.add(
+                    now, new_totals.latencies, other_totals.latencies
+                )
+                comparison.slow_answers.add(slow_answers)
+                self._all_routes.slow_answers.add(slow_answers)
 
     def find_fault(self) -> str:
         """Returns what is wrong with the new version, empty if nothing is."""
@@ -195,9 +289,11 @@
             )
             if fault:
                 return fault
-        if route == ALL_ROUTES:
-            # The versions may have different shares of slow routes.
-            return ""
+        fault = comparison.slow_answers.find_fault(route)
+        # The versions may have different shares of slow routes, so that means
+        # over all routes can't be compared.
+        if fault or route == ALL_ROUTES:
+            return fault
         return _find_slowness(route, comparison.new, comparison.others)
 
 
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -12,6 +12,7 @@
 from lycheestair.sidecar import backend
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import departures as departures_lib
+from lycheestair.sidecar import latencies as latencies_lib
 
 # Weight of the latest outcome in the moving average of failures.
 FAILURE_RATE_WEIGHT: Final = 0.15
@@ -102,12 +103,15 @@
     Attributes:
       answers: All outcomes, including failures without a response.
       total_latency_ms: Total processing time of these requests.
+      latencies: Histogram of the latencies of successful requests that did not
+        reach the backend server during its warm-up.
     """
 
     route: ids.RouteName
     answers: int
     failures: int
     total_latency_ms: int
+    latencies: latencies_lib.EncodedHistogram = ()
 
     def subtract(self, earlier: "RouteCount") -> "RouteCount":
         """Returns the outcomes since an earlier count of the same route."""
@@ -116,6 +120,7 @@
             self.answers - earlier.answers,
             self.failures - earlier.failures,
             self.total_latency_ms - earlier.total_latency_ms,
+            latencies_lib.subtract(self.latencies, earlier.latencies),
         )
 
 
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -1,6 +1,7 @@
 """Serving node: executes calls on the local backend server."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import dataclasses
 import time
@@ -21,6 +22,7 @@
 from lycheestair.sidecar import dependencies
 from lycheestair.sidecar import event_log
 from lycheestair.sidecar import http1
+from lycheestair.sidecar import latencies as latencies_lib
 from lycheestair.sidecar import members
 from lycheestair.sidecar import pool
 from lycheestair.sidecar import settings as settings_lib
@@ -55,6 +57,8 @@
       on_endpoint_change: Called after the endpoint has changed.
       counts: Recorded outcomes, failures among them and total time in
         milliseconds, by route.
+      latencies: Latencies of successful requests by route, see
+        `members.RouteCount`.
       failed_dependency_calls: Failed calls of the backend server to other
         services.
       departures: Departures that this node has acknowledged, also before a
@@ -75,6 +79,9 @@
         self.endpoint: members.Endpoint | None = None
         self.on_endpoint_change: Callable[[], None] = lambda: None
         self.counts: dict[ids.RouteName, list[int]] = {}
+        self.latencies: collections.defaultdict[
+            ids.RouteName, latencies_lib.Histogram
+        ] = collections.defaultdict(latencies_lib.Histogram)
         self.failed_dependency_calls = dependencies.FailedDependencyCalls()
         self.departures = departures_lib.Departures()
         self.on_departure: Callable[[], None] = lambda: None
@@ -93,6 +100,8 @@
         self._leaving_incarnation: tuple[str, int] | None = None
         self._latest_announcement: backend.Announcement | None = None
         self._heartbeat_at = 0.0
+        # Time at which the backend server has warmed up.
+        self._warm_at = 0.0
         # Latest start in Unix milliseconds of deregistered incarnations, by
         # instance.
         self._deregistered_ms: dict[str, int] = {}
@@ -149,6 +158,7 @@
         self._latest_announcement = announcement
         self._apply_earlier_limit()
         self._heartbeat_at = clock.read_s()
+        self._warm_at = self._heartbeat_at + announcement.warmup_s
         self._set_endpoint(
             members.Endpoint(
                 announcement.instance,
@@ -259,6 +269,11 @@
         ):
             self._set_endpoint(None, "no heartbeat")
 
+    def clear_counts(self) -> None:
+        """Drops the recorded outcomes."""
+        self.counts.clear()
+        self.latencies.clear()
+
     def read_load(self) -> list[int]:
         """Returns the arguments of `Member.report_load`."""
         return [
@@ -339,6 +354,9 @@
         count[0] += 1
         count[1] += failed
         count[2] += int(duration_s * 1000)
+        if not failed and clock.read_s() - duration_s >= self._warm_at:
+            bucket = latencies_lib.find_bucket(duration_s * 1000)
+            self.latencies[call.route][bucket] += 1
         return outcome
 
     async def _send(
--- a/src/lycheestair/sidecar/statuses.py
+++ b/src/lycheestair/sidecar/statuses.py
@@ -5,6 +5,7 @@
 
 from lycheestair import ids
 from lycheestair.sidecar import backend
+from lycheestair.sidecar import latencies
 from lycheestair.sidecar import members
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import serving
@@ -69,13 +70,23 @@
             return False
         if self._counted_rollout_created_revision != rollout.created_revision:
             self._counted_rollout_created_revision = rollout.created_revision
-            self._serving_node.counts.clear()
+            self._serving_node.clear_counts()
         if rollout.state in rollout_lib.FINAL_STATES:
             return False
         self._own.rollout_created_revision = rollout.created_revision
         self._own.counts = tuple(
-            members.RouteCount(route, *count)
-            for route, count in self._serving_node.counts.items()
+            members.RouteCount(
+                route,
+                answers,
+                failures,
+                total_ms,
+                latencies.encode(self._serving_node.latencies[route]),
+            )
+            for route, (
+                answers,
+                failures,
+                total_ms,
+            ) in self._serving_node.counts.items()
         )
         return True
 
@@ -109,7 +120,12 @@
             instance, service, version, slots, backend.BackendState(state)
         )
     running, waiting, service_time_ms, failed_percent = load
-    decoded_counts = tuple(members.RouteCount(*count) for count in counts or ())
+    decoded_counts = tuple(
+        members.RouteCount(
+            route, answers, failures, total_ms, latencies.decode(histogram)
+        )
+        for route, answers, failures, total_ms, histogram in counts or ()
+    )
     member.status_number = number
     member.status = fields
     member.leaving = leaving
--- a/tests/rollout_model.py
+++ b/tests/rollout_model.py
@@ -8,6 +8,7 @@
 from lycheestair import ids
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import gossip
+from lycheestair.sidecar import latencies
 from lycheestair.sidecar import members
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import settings as settings_lib
@@ -79,11 +80,16 @@
 
     def count(self, route, latency_s, failed):
         known = self.counts.get(route, members.RouteCount(route, 0, 0, 0))
+        bucket = latencies.find_bucket(latency_s * 1000)
         self.counts[route] = members.RouteCount(
             route,
             known.answers + 1,
             known.failures + failed,
             known.total_latency_ms + int(latency_s * 1000),
+            latencies.encode(
+                latencies.Histogram(dict(known.latencies))
+                + latencies.Histogram([] if failed else [bucket])
+            ),
         )
 
 
@@ -95,6 +101,7 @@
     bounds=None,
     seed=1,
     base_failed=0.01,
+    new_speeds=SPEEDS,
 ):
     """Plays a rollout that is ordered at time 0, until it is due."""
     generator = random.Random(seed)
@@ -110,8 +117,8 @@
     )
     servers = {"v1": [], "v2": []}
 
-    def add_servers(version):
-        for number, speed in enumerate(SPEEDS):
+    def add_servers(version, speeds):
+        for number, speed in enumerate(speeds):
             member = table.add(
                 members.NodeRecord(
                     f"{version}-{number}", f"{version}:{number}", "a1", "n", 1
@@ -128,7 +135,7 @@
             servers[version].append(Server(member, speed, generator))
         table.invalidate_service_index()
 
-    add_servers("v1")
+    add_servers("v1", SPEEDS)
     planner.compute_shares(SERVICE, ["v1"])
     planner.update_rollout(rollout_lib.RolloutReport(rollout, 0.0))
     result = Result()
@@ -139,7 +146,7 @@
     while now < duration_s:
         now += STEP_S
         if now >= SERVER_START_S and not servers["v2"]:
-            add_servers("v2")
+            add_servers("v2", new_speeds)
         # A few arrivals a step; close enough to a Poisson process.
         arrivals = sum(
             generator.random() < rate_per_s(now) * STEP_S / 10
--- a/tests/test_platform_exposure.py
+++ b/tests/test_platform_exposure.py
@@ -40,6 +40,38 @@
         assert not result.exceeds(BOUNDS), result
 
 
+@pytest.mark.parametrize("duration_s", [10.0, 16.0])
+@pytest.mark.parametrize("factor", [4.0, 8.0])
+def test_slow_version_is_found_before_it_takes_over(
+    monkeypatch, duration_s, factor
+):
+    """Guards against a mean that hides that half of the requests are slow."""
+    for seed in range(10):
+        result = rollout_model.play(
+            monkeypatch,
+            rollout_model.Fault(0.0, slow=0.5, factor=factor),
+            duration_s=duration_s,
+            bounds=BOUNDS,
+            seed=seed,
+        )
+        assert result.found_at is not None
+        assert not result.exceeds(BOUNDS), result
+
+
+def test_good_version_whose_servers_are_the_slower_ones_is_kept(monkeypatch):
+    """Guards against a rollback because of servers, load or chance."""
+    for seed in range(20):
+        result = rollout_model.play(
+            monkeypatch,
+            rate_per_s=lambda at: 210.0 if at < 5.0 else 260.0,
+            duration_s=16.0,
+            bounds=BOUNDS,
+            seed=seed,
+            new_speeds=(0.8, 0.9, 0.9, 1.2, 1.8, 1.8),
+        )
+        assert result.found_at is None, result
+
+
 def test_falling_traffic_does_not_raise_the_exposed_share(monkeypatch):
     """Guards against an allowance computed from traffic that has gone."""
     for begins_s in (0.0, 6.0, 7.5):
