Complete rollouts early enough for an operator to read it

The lead is 0.7 s now, and 0.7 s instead of 0.8 s remain for the old servers' requests. So that a version which turns bad unseen still stays within what is allowed, the share now follows what is left of the allowance over the time that is left, instead of a fixed fraction: an early error of the rate corrects itself.

--- a/src/lycheestair/sidecar/exposure.py
+++ b/src/lycheestair/sidecar/exposure.py
@@ -16,10 +16,10 @@
 
 # The old backend servers are stopped at the end of a rollout. Their requests
 # get this time to finish after the new version has taken over.
-FULL_SHARE_S: Final = 0.8
+FULL_SHARE_S: Final = 0.7
 # Time before the rollout is due for writing the final state and for an operator
-# to read it, which polls the store several times a second.
-COMPLETION_LEAD_S: Final = 0.5
+# to read it, which may poll the store only twice a second.
+COMPLETION_LEAD_S: Final = 0.7
 # Begins this long before the new version takes over; see `is_critical`.
 CRITICAL_LEAD_S: Final = 0.5
 # A rollout without evidence keeps its small share for longer: the old servers
@@ -30,16 +30,19 @@
 INITIAL_SHARE: Final = 0.03
 # Answers that the new version gets at least before it takes over, so that a fault
 # can show, unless that would exceed the share that a bad version may get.
-MIN_ANSWERS_BEFORE_TAKEOVER: Final = 75
+MIN_ANSWERS_BEFORE_TAKEOVER: Final = 64
 # Share once the allowance is spent. Not 0, so that the new version still replaces
 # old servers that have all failed.
 SPENT_SHARE: Final = 0.003
+# The allowance is spread over at least this time. Answers are counted late, so the
+# rest of it seems larger than it is.
+MIN_HORIZON_S: Final = 3.0
 # The requests that the planned share gives vary by chance, and those that have
 # not been reported yet are not counted.
 SAFETY_RATIO: Final = 0.9
 # A very short rollout takes over after this fraction of its duration.
 MIN_TAKEOVER_RATIO: Final = 0.35
-MAX_LEAD_RATIO: Final = 0.1
+MAX_LEAD_RATIO: Final = 0.17
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,13 +106,13 @@
     allowance = SAFETY_RATIO * (
         bounds.exposure_share * rate_per_s * duration_s + bounds.exposure_slack
     ) - rate_per_s * (duration_s - takeover_s)
-    expected = rate_per_s * takeover_s
-    if not expected:
+    if not rate_per_s:
         return INITIAL_SHARE
-    share = min(
+    remaining = (
+        max(MIN_ANSWERS_BEFORE_TAKEOVER, allowance) - progress.new_answers
+    )
+    expected = rate_per_s * max(MIN_HORIZON_S, takeover_s - progress.elapsed_s)
+    return min(
         bounds.exposure_share,
-        max(MIN_ANSWERS_BEFORE_TAKEOVER, allowance) / expected,
+        max(SPENT_SHARE, remaining / max(1.0, expected)),
     )
-    if progress.new_answers >= share * expected:
-        return SPENT_SHARE
-    return share
