Order what the store says by era, then by revision

Cause: revisions were compared as if they never went back.

A revision now holds the era of the header Store-Era before its number. Reports of rollouts and statuses carry both, so that nodes that don't read the store learn a new era from their peers, and a node of an old era changes nothing at one of a new era. The same cause elsewhere: a watch continued at a revision that had been given out again, and pages of two eras made one list. Revisions of node records of an old era were used for deletes until the watch noticed: a full listing now replaces them.

What was lost is restored: a final state or verdict of a rollout that the copy lacks stays in force and is written again, and the first feeder writes the records of reachable nodes that the store lacks. An earlier state in the copy changes nothing.

--- a/src/lycheestair/platform/objects.py
+++ b/src/lycheestair/platform/objects.py
@@ -10,6 +10,7 @@
 from lycheestair import ids
 from lycheestair import messages
 from lycheestair.sidecar import http1
+from lycheestair.sidecar import revisions
 from lycheestair.sidecar import store
 from lycheestair.sidecar import streams
 
@@ -20,6 +21,7 @@
 # ended.
 _WATCH_TIMEOUT_MARGIN_S: Final = 1.0
 _MAX_PAGES: Final = 1_000
+_ERA_HEADER: Final = b"store-era"
 
 
 class ObjectStore:
@@ -34,83 +36,100 @@
         """Implements store.MetadataStore."""
         items: list[store.StoredItem] = []
         after = ""
-        revision = 0
+        revision: revisions.Revision | None = None
         for _ in range(_MAX_PAGES):
             query = f"?after={urllib.parse.quote(after)}" if after else ""
-            _, document = await self._call("GET", f"/{kind}{query}")
-            page = [_decode_item(item) for item in document.get("items") or ()]
+            _, era, document = await self._call("GET", f"/{kind}{query}")
+            page = [
+                _decode_item(item, era) for item in document.get("items") or ()
+            ]
             items.extend(page)
             # Pages may have different revisions. A watch that continues at the
             # revision of the first page reports all changes since then.
-            revision = revision or _read_revision(document)
+            revision = revision or _read_revision(document, era)
+            if era != revision.era:
+                raise store.StoreUnavailableError(
+                    f"store was restored while {kind} were listed"
+                )
             if not document.get("has_more") or not page:
                 break
             after = page[-1].name
+        assert revision is not None
         return store.Listing(items, revision)
 
     async def watch(
-        self, kind: str, revision: int, wait_s: float
+        self, kind: str, revision: revisions.Revision, wait_s: float
     ) -> store.Listing:
         """Implements store.MetadataStore."""
-        status, document = await self._call(
+        status, era, document = await self._call(
             "GET",
-            f"/{kind}?watch={revision}&wait_ms={int(wait_s * 1000)}",
+            f"/{kind}?watch={revision.number}&wait_ms={int(wait_s * 1000)}",
             timeout_s=wait_s + _WATCH_TIMEOUT_MARGIN_S,
         )
-        if status == 410:
+        if status == 410 or era != revision.era:
             raise store.HistoryDiscardedError(
                 f"no history of {kind} after revision {revision}"
             )
         return store.Listing(
             [
-                _decode_item(event.get("object"), bool(event.get("deleted")))
+                _decode_item(
+                    event.get("object"), era, bool(event.get("deleted"))
+                )
                 for event in document.get("events") or ()
                 if isinstance(event, dict)
             ],
-            _read_revision(document),
+            _read_revision(document, era),
         )
 
     async def put(
-        self, kind: str, name: str, value: Any, revision: int
+        self,
+        kind: str,
+        name: str,
+        value: Any,
+        revision: revisions.Revision | None,
     ) -> store.StoredItem | store.Conflict:
         """Implements store.MetadataStore."""
         body: dict[str, Any] = {
             "metadata": {"name": name},
             "specification": value,
         }
-        if not revision:
+        if revision is None:
             return await self._write("POST", f"/{kind}", body)
-        body["metadata"]["revision"] = revision
+        body["metadata"]["revision"] = revision.number
         return await self._write("PUT", _object_path(kind, name), body)
 
     async def put_status(
-        self, kind: str, name: str, status: Any, revision: int
+        self, kind: str, name: str, status: Any, revision: revisions.Revision
     ) -> store.StoredItem | store.Conflict:
         """Implements store.MetadataStore."""
         body = {
-            "metadata": {"name": name, "revision": revision},
+            "metadata": {"name": name, "revision": revision.number},
             "status": status,
         }
         return await self._write(
             "PUT", f"{_object_path(kind, name)}/status", body
         )
 
-    async def delete(self, kind: str, name: str, revision: int) -> None:
+    async def delete(
+        self, kind: str, name: str, revision: revisions.Revision
+    ) -> None:
         """Implements store.MetadataStore."""
         await self._call(
-            "DELETE", f"{_object_path(kind, name)}?revision={revision}"
+            "DELETE", f"{_object_path(kind, name)}?revision={revision.number}"
         )
 
     async def _write(
         self, method: str, path: str, body: dict[str, Any]
     ) -> store.StoredItem | store.Conflict:
-        status, document = await self._call(method, path, orjson.dumps(body))
+        status, era, document = await self._call(
+            method, path, orjson.dumps(body)
+        )
         if status in (404, 409):
             try:
-                return store.Conflict(_decode_item(document))
+                return store.Conflict(_decode_item(document, era))
             except store.StoreUnavailableError:
                 return store.Conflict(None)
-        return _decode_item(document)
+        return _decode_item(document, era)
 
     async def _call(
         self,
@@ -118,12 +137,12 @@
         path: str,
         body: bytes = b"",
         timeout_s: float = _CALL_TIMEOUT_S,
-    ) -> tuple[int, dict[str, Any]]:
+    ) -> tuple[int, int, dict[str, Any]]:
         """Sends a request to the store.
 
         Returns:
-          The status, which is below 400 or one of 404, 409 and 410, and the
-          decoded body.
+          The status, which is below 400 or one of 404, 409 and 410, the era of
+          the store, and the decoded body.
 
         Raises:
           StoreUnavailableError: The store failed, or refused the request.
@@ -182,7 +201,7 @@
             raise store.StoreUnavailableError(
                 f"{method} {path}: status {response.status}"
             )
-        return response.status, document
+        return response.status, _read_era(response), document
 
     async def _acquire_connection(self) -> streams.Stream:
         while self._idle_streams:
@@ -197,20 +216,37 @@
     return f"/{kind}/{urllib.parse.quote(name, safe='')}"
 
 
-def _read_revision(document: dict[str, Any]) -> int:
+def _read_era(response: http1.Response) -> int:
+    """Returns the era in a response; stores without a drill tell none."""
+    value = response.find_header(_ERA_HEADER)
+    if value is None:
+        return 0
+    try:
+        return int(value)
+    except ValueError as error:
+        raise store.StoreUnavailableError(
+            f"answer has the malformed era {value!r}"
+        ) from error
+
+
+def _read_revision(document: dict[str, Any], era: int) -> revisions.Revision:
     revision = document.get("at")
     if not isinstance(revision, int):
         raise store.StoreUnavailableError("answer has no valid revision")
-    return revision
+    return revisions.Revision(era, revision)
 
 
-def _decode_item(document: Any, deleted: bool = False) -> store.StoredItem:
+def _decode_item(
+    document: Any, era: int, deleted: bool = False
+) -> store.StoredItem:
     try:
         metadata = document["metadata"]
         return store.StoredItem(
             name=str(metadata["name"]),
-            revision=int(metadata["revision"]),
-            created_revision=int(metadata.get("creation_revision") or 0),
+            revision=revisions.Revision(era, int(metadata["revision"])),
+            created_revision=revisions.Revision(
+                era, int(metadata.get("creation_revision") or 0)
+            ),
             value=document.get("specification"),
             status=document.get("status"),
             deleted=deleted,
--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -14,6 +14,7 @@
 from lycheestair.sidecar import exposure
 from lycheestair.sidecar import gossip as gossip_lib
 from lycheestair.sidecar import members
+from lycheestair.sidecar import revisions
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import settings as settings_lib
 from lycheestair.sidecar import store as store_lib
@@ -71,7 +72,9 @@
         self._gossip = gossip
         self._planner = planner
         self._log = log
-        self._record_revisions: dict[str, int] = {}
+        self._record_revisions: dict[str, revisions.Revision] = {}
+        # Reachable nodes whose records the store lacks.
+        self._unrecorded: set[ids.NodeId] = set()
         self._unreachable_since: dict[ids.NodeId, float] = {}
         self._active = False
         # Set while this node acts as a feeder.
@@ -86,13 +89,22 @@
         async with asyncio.TaskGroup() as group:
             for work in (
                 lambda: self._watch(
-                    kinds.configuration, WATCH_TIMEOUT_S, self._apply_catalogs
+                    kinds.configuration,
+                    WATCH_TIMEOUT_S,
+                    self._apply_catalogs,
+                    self._apply_catalogs,
                 ),
                 lambda: self._watch(
-                    kinds.rollouts, WATCH_TIMEOUT_S, self._apply_rollouts
+                    kinds.rollouts,
+                    WATCH_TIMEOUT_S,
+                    self._apply_rollouts,
+                    self._apply_rollouts,
                 ),
                 lambda: self._watch(
-                    kinds.nodes, NODES_WATCH_TIMEOUT_S, self._apply_node_records
+                    kinds.nodes,
+                    NODES_WATCH_TIMEOUT_S,
+                    self._apply_node_records,
+                    self._apply_node_listing,
                 ),
                 self._run_role,
                 self._run_first_feeder_tasks,
@@ -189,7 +201,7 @@
         started_at = clock.read_s()
         own = self._table.own.record
         result = await self._store.put(
-            self._kinds.nodes, own.node_id, own.encode(), 0
+            self._kinds.nodes, own.node_id, own.encode(), None
         )
         self._gossip.store_latency_ms = int(
             (clock.read_s() - started_at) * 1000
@@ -205,7 +217,7 @@
                 )
         self._set_store_available(True)
         listing = await self._store.list(self._kinds.nodes)
-        self._apply_node_records(listing.items)
+        self._apply_node_listing(listing.items)
         if len(self._table) > 1:
             deadline = clock.read_s() + PEER_CONFIGURATION_TIMEOUT_S
             while not self._gossip.catalog.generation:
@@ -244,28 +256,31 @@
         self,
         kind: str,
         wait_s: float,
-        apply_items: Callable[[list[store_lib.StoredItem]], None],
+        apply_changes: Callable[[list[store_lib.StoredItem]], None],
+        apply_listing: Callable[[list[store_lib.StoredItem]], None],
     ) -> None:
-        revision = 0
+        revision: revisions.Revision | None = None
         while True:
             if not self._update_active():
-                revision = 0
+                revision = None
                 await self._activated.wait()
                 continue
             try:
-                if revision:
-                    listing = await self._store.watch(kind, revision, wait_s)
-                else:
+                if revision is None:
                     listing = await self._store.list(kind)
+                    apply_items = apply_listing
+                else:
+                    listing = await self._store.watch(kind, revision, wait_s)
+                    apply_items = apply_changes
                 self._set_store_available(True)
                 revision = listing.revision
                 apply_items(listing.items)
             except store_lib.HistoryDiscardedError:
                 self._log.write("store history discarded", kind=kind)
-                revision = 0
+                revision = None
             except store_lib.StoreUnavailableError as error:
                 self._set_store_available(False, str(error))
-                revision = 0
+                revision = None
                 await asyncio.sleep(
                     random.uniform(0.5, 1.0) * MIN_RETRY_DELAY_S
                 )
@@ -326,6 +341,17 @@
         if changed:
             self._gossip.publish_rollouts()
 
+    def _apply_node_listing(self, items: list[store_lib.StoredItem]) -> None:
+        """Applies all records; a restored store may lack those of some nodes."""
+        self._record_revisions.clear()
+        self._apply_node_records(items)
+        self._unrecorded = {
+            member.record.node_id
+            for member in self._table
+            if member.reachable
+            and member.record.node_id not in self._record_revisions
+        }
+
     def _apply_node_records(self, items: list[store_lib.StoredItem]) -> None:
         records = []
         for item in items:
@@ -357,22 +383,24 @@
                 continue
             try:
                 for report in self._planner.list_rollouts():
-                    await self._update_rollout_status(
-                        report.rollout, report.age_s
-                    )
+                    await self._update_rollout_status(report)
+                await self._write_missing_records()
                 await self._remove_stale_records()
             except store_lib.StoreUnavailableError as error:
                 self._set_store_available(False, str(error))
 
     async def _update_rollout_status(
-        self, rollout: rollout_lib.Rollout, age_s: float
+        self, report: rollout_lib.RolloutReport
     ) -> None:
+        rollout = report.rollout
         if rollout.state in rollout_lib.FINAL_STATES:
             return
         state = rollout_lib.RolloutState.RUNNING
-        if self._planner.get_bad_reason(rollout.service):
+        if report.decided is not None:
+            state = report.decided
+        elif report.bad_reason:
             state = rollout_lib.RolloutState.ROLLED_BACK
-        elif age_s > exposure.compute_completion_s(
+        elif report.age_s > exposure.compute_completion_s(
             rollout.duration_s
         ) and rollout.target in self._table.list_versions(rollout.service):
             state = rollout_lib.RolloutState.COMPLETED
@@ -394,11 +422,28 @@
             service=rollout.service,
             target=rollout.target,
             state=state.value,
-            reason=self._planner.get_bad_reason(rollout.service),
+            reason=report.bad_reason,
         )
         if item is not None:
             self._apply_rollouts([item])
 
+    async def _write_missing_records(self) -> None:
+        """Writes records that were lost when the store was restored."""
+        while self._unrecorded:
+            node_id = self._unrecorded.pop()
+            member = self._table.find(node_id)
+            if member is None or member.leaving or not member.reachable:
+                continue
+            record = member.record
+            result = await self._store.put(
+                self._kinds.nodes, node_id, record.encode(), None
+            )
+            self._log.write(
+                "missing node record written",
+                peer=node_id,
+                conflict=isinstance(result, store_lib.Conflict),
+            )
+
     def _track_unreachable(self) -> None:
         now = clock.read_s()
         others = self._table.list_others()
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -481,7 +481,8 @@
             service=rollout.service,
             target=rollout.target,
             state=rollout.state.value,
-            revision=rollout.revision,
+            era=rollout.revision.era,
+            revision=rollout.revision.number,
             age_ms=int(report.age_s * 1000),
             bad_reason=report.bad_reason,
         )
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -13,6 +13,7 @@
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import departures as departures_lib
 from lycheestair.sidecar import latencies as latencies_lib
+from lycheestair.sidecar import revisions
 
 # Weight of the latest outcome in the moving average of failures.
 FAILURE_RATE_WEIGHT: Final = 0.15
@@ -192,7 +193,7 @@
         self.store_available: bool | None = None
         self.store_latency_ms = 0
         self.status_number = -1
-        self.rollout_created_revision = 0
+        self.rollout_created_revision = revisions.NO_REVISION
         self.counts: tuple[RouteCount, ...] = ()
         self.reachable = False
         self.in_flight = 0
@@ -216,7 +217,7 @@
         self.store_available = None
         self.status_number = -1
         self.status = None
-        self.rollout_created_revision = 0
+        self.rollout_created_revision = revisions.NO_REVISION
         self.counts = ()
         self.was_tried = False
         self._failures = FailureRate()
--- /dev/null
+++ b/src/lycheestair/sidecar/revisions.py
@@ -0,0 +1,32 @@
+"""Revisions of the platform's store, also across a restore from a copy."""
+
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+
+class Revision(NamedTuple):
+    """Position in the history of the store; later ones compare as greater.
+
+    Attributes:
+      era: Rises when the store is restored from a copy. What it has written
+        since the copy is lost, and numbers are given out again.
+      number: Increases with each change of any object of an era.
+    """
+
+    era: int
+    number: int
+
+
+# Older than any revision of a store.
+NO_REVISION: Final = Revision(0, 0)
+
+
+def decode(fields: Any) -> Revision:
+    """Decodes the revision of another node.
+
+    Raises:
+      TypeError, ValueError: The fields are malformed.
+    """
+    era, number = fields
+    return Revision(int(era), int(number))
--- a/src/lycheestair/sidecar/rollout.py
+++ b/src/lycheestair/sidecar/rollout.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from lycheestair import ids
+from lycheestair.sidecar import revisions
 
 
 class RolloutState(enum.Enum):
@@ -33,8 +34,8 @@
     target: ids.VersionName
     duration_s: float
     state: RolloutState
-    revision: int
-    created_revision: int
+    revision: revisions.Revision
+    created_revision: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,11 +45,14 @@
     Attributes:
       age_s: Time in seconds since a node first learned of it.
       bad_reason: Why a node found the new version bad, empty if none did.
+      decided: Final state that it reached before the store was restored, None if
+        it reached none or the store still has it.
     """
 
     rollout: Rollout
     age_s: float
     bad_reason: str = ""
+    decided: RolloutState | None = None
 
 
 def encode(report: RolloutReport) -> list[Any]:
@@ -63,6 +67,7 @@
         rollout.created_revision,
         report.age_s,
         report.bad_reason,
+        report.decided.value if report.decided else None,
     ]
 
 
@@ -70,7 +75,7 @@
     """Decodes a report of another node.
 
     Raises:
-      ValueError: The fields are not those of a report.
+      TypeError, ValueError: The fields are not those of a report.
     """
     (
         service,
@@ -81,6 +86,7 @@
         created_revision,
         age_s,
         bad_reason,
+        decided,
     ) = fields
     return RolloutReport(
         Rollout(
@@ -88,9 +94,10 @@
             target,
             duration_s,
             RolloutState(state),
-            revision,
-            created_revision,
+            revisions.decode(revision),
+            revisions.decode(created_revision),
         ),
         age_s,
         bad_reason,
+        RolloutState(decided) if decided else None,
     )
--- a/src/lycheestair/sidecar/statuses.py
+++ b/src/lycheestair/sidecar/statuses.py
@@ -7,6 +7,7 @@
 from lycheestair.sidecar import backend
 from lycheestair.sidecar import latencies
 from lycheestair.sidecar import members
+from lycheestair.sidecar import revisions
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import serving
 from lycheestair.sidecar import versions as versions_lib
@@ -25,7 +26,7 @@
         self._serving_node = server
         self._planner = planner
         self._status_number = 0
-        self._counted_rollout_created_revision = 0
+        self._counted_rollout_created_revision = revisions.NO_REVISION
 
     def encode(self) -> list[Any]:
         """Returns the current status as a list of plain values."""
@@ -49,7 +50,9 @@
             own.leaving,
             own.store_available,
             own.store_latency_ms,
-            own.rollout_created_revision if has_counts else 0,
+            own.rollout_created_revision
+            if has_counts
+            else revisions.NO_REVISION,
             [dataclasses.astuple(count) for count in own.counts]
             if has_counts
             else None,
@@ -126,6 +129,7 @@
         )
         for route, answers, failures, total_ms, histogram in counts or ()
     )
+    decoded_revision = revisions.decode(rollout_created_revision)
     member.status_number = number
     member.status = fields
     member.leaving = leaving
@@ -134,7 +138,7 @@
     member.generation = ids.Generation(generation)
     member.report_load(running, waiting, service_time_ms, failed_percent)
     if counts is not None:
-        member.rollout_created_revision = rollout_created_revision
+        member.rollout_created_revision = decoded_revision
         member.counts = decoded_counts
     if decoded == member.endpoint:
         return False
--- a/src/lycheestair/sidecar/store.py
+++ b/src/lycheestair/sidecar/store.py
@@ -6,6 +6,7 @@
 
 from lycheestair import ids
 from lycheestair.sidecar import catalog
+from lycheestair.sidecar import revisions
 from lycheestair.sidecar import rollout
 
 
@@ -14,7 +15,7 @@
 
 
 class HistoryDiscardedError(Exception):
-    """The store has discarded the history after a watch's revision."""
+    """The store no longer has the history after a watch's revision."""
 
 
 class DocumentError(Exception):
@@ -26,17 +27,16 @@
     """An object of the store.
 
     Attributes:
-      revision: Revision of its latest change; revisions increase with each
-        change of any object.
-      created_revision: Revision at which the object was created.
+      revision: revisions.Revision of its latest change.
+      created_revision: revisions.Revision at which the object was created.
       value: JSON value written by its owner.
       status: JSON value written by lycheestair, None if there is none.
       deleted: Whether the object has been deleted.
     """
 
     name: str
-    revision: int
-    created_revision: int
+    revision: revisions.Revision
+    created_revision: revisions.Revision
     value: Any
     status: Any
     deleted: bool = False
@@ -47,7 +47,7 @@
     """Objects or changes of a kind up to a revision."""
 
     items: list[StoredItem]
-    revision: int
+    revision: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,27 +82,36 @@
     async def list(self, kind: str) -> Listing:
         """Reads all objects of a kind."""
 
-    async def watch(self, kind: str, revision: int, wait_s: float) -> Listing:
+    async def watch(
+        self, kind: str, revision: revisions.Revision, wait_s: float
+    ) -> Listing:
         """Waits for changes after a revision, up to `wait_s` seconds.
 
         Raises:
-          HistoryDiscardedError: The history after the revision was discarded.
+          HistoryDiscardedError: The history after the revision was discarded,
+            or the store was restored.
         """
 
     async def put(
-        self, kind: str, name: str, value: Any, revision: int
+        self,
+        kind: str,
+        name: str,
+        value: Any,
+        revision: revisions.Revision | None,
     ) -> StoredItem | Conflict:
         """Creates an object, or replaces it if it still has this revision.
 
-        Revision 0 means that the object must not exist yet.
+        None means that the object must not exist yet.
         """
 
     async def put_status(
-        self, kind: str, name: str, status: Any, revision: int
+        self, kind: str, name: str, status: Any, revision: revisions.Revision
     ) -> StoredItem | Conflict:
         """Replaces the status of an object if it still has this revision."""
 
-    async def delete(self, kind: str, name: str, revision: int) -> None:
+    async def delete(
+        self, kind: str, name: str, revision: revisions.Revision
+    ) -> None:
         """Deletes an object if it still has this revision."""
 
 
--- a/src/lycheestair/sidecar/versions.py
+++ b/src/lycheestair/sidecar/versions.py
@@ -1,5 +1,6 @@
 """Traffic share of each version of a service during a rollout."""
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 from typing import Final
@@ -15,6 +16,12 @@
 # A new version without a rollout gets no requests for this long while other
 # versions serve: the rollout may not have arrived at this node yet.
 VERSION_WITHOUT_ROLLOUT_DELAY_S: Final = 3.0
+# States of rollouts that are remembered. A copy of the store is seconds old, and a
+# rollout has a few states.
+MAX_EARLIER_STATES: Final = 256
+
+# Service, target and revision number of a state of a rollout.
+_RolloutStateId = tuple[ids.ServiceName, ids.VersionName, int]
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,11 +31,13 @@
     Attributes:
       learned_at: Time in seconds at which a node first learned of it.
       bad: Why the new version was found bad, empty if it was not.
+      decided: Final state that it reached before the store was restored.
     """
 
     rollout: rollout_lib.Rollout
     learned_at: float
     bad: str = ""
+    decided: rollout_lib.RolloutState | None = None
     evidence: evidence_lib.Evidence = dataclasses.field(
         default_factory=evidence_lib.Evidence
     )
@@ -36,6 +45,11 @@
         default_factory=evidence_lib.IncrementReader
     )
 
+    @property
+    def state(self) -> rollout_lib.RolloutState:
+        """State that applies, which the store may have lost."""
+        return self.decided or self.rollout.state
+
 
 class VersionPlanner:
     """Computes which versions get requests, from rollouts and their outcomes.
@@ -48,6 +62,10 @@
         self._bounds = bounds
         self._table = table
         self._rollouts: dict[ids.ServiceName, _TrackedRollout] = {}
+        # Latest states of rollouts, to recognize them after a restore.
+        self._earlier: collections.deque[_RolloutStateId] = collections.deque(
+            maxlen=MAX_EARLIER_STATES
+        )
         self._first_seen: dict[
             tuple[ids.ServiceName, ids.VersionName], float
         ] = {}
@@ -57,7 +75,10 @@
         now = clock.read_s()
         return [
             rollout_lib.RolloutReport(
-                tracked.rollout, now - tracked.learned_at, tracked.bad
+                tracked.rollout,
+                now - tracked.learned_at,
+                tracked.bad,
+                tracked.decided,
             )
             for tracked in self._rollouts.values()
         ]
@@ -72,26 +93,33 @@
         is_newer = self._apply_newer(rollout, report.age_s)
         known = self._rollouts[rollout.service]
         if (
-            not report.bad_reason
-            or known.bad
-            or known.rollout.state in rollout_lib.FINAL_STATES
-            or known.rollout.target != rollout.target
+            known.rollout.target != rollout.target
             or known.rollout.created_revision != rollout.created_revision
         ):
             return is_newer
-        known.bad = report.bad_reason
-        return True
+        learns_decision = report.decided is not None and known.decided is None
+        if learns_decision:
+            known.decided = report.decided
+        learns_verdict = bool(
+            report.bad_reason
+            and not known.bad
+            and known.state not in rollout_lib.FINAL_STATES
+        )
+        if learns_verdict:
+            known.bad = report.bad_reason
+        return is_newer or learns_decision or learns_verdict
 
     def _apply_newer(self, rollout: rollout_lib.Rollout, age_s: float) -> bool:
         known = self._rollouts.get(rollout.service)
         learned_at = clock.read_s() - age_s
         if known is None:
-            self._rollouts[rollout.service] = _TrackedRollout(
-                rollout, learned_at
-            )
+            self._start_tracking(rollout, learned_at)
             return True
         if rollout.revision <= known.rollout.revision:
             return False
+        if rollout.revision.era > known.rollout.revision.era:
+            return self._apply_after_restore(known, rollout, learned_at)
+        self._remember(rollout)
         is_update = (
             known.rollout.target == rollout.target
             and known.rollout.created_revision == rollout.created_revision
@@ -104,9 +132,43 @@
             known.rollout = rollout
             known.learned_at = min(known.learned_at, learned_at)
         else:
-            self._rollouts[rollout.service] = _TrackedRollout(
-                rollout, learned_at
-            )
+            self._start_tracking(rollout, learned_at)
+        return True
+
+    def _start_tracking(
+        self, rollout: rollout_lib.Rollout, learned_at: float
+    ) -> None:
+        self._rollouts[rollout.service] = _TrackedRollout(rollout, learned_at)
+        self._remember(rollout)
+
+    def _remember(self, rollout: rollout_lib.Rollout) -> None:
+        self._earlier.append(_identify_state(rollout))
+
+    def _apply_after_restore(
+        self,
+        known: _TrackedRollout,
+        rollout: rollout_lib.Rollout,
+        learned_at: float,
+    ) -> bool:
+        """Applies a rollout of a store that was restored from a copy.
+
+        The copy may hold earlier states of the known rollout, or rollouts before
+        it. The operator writes again what the copy lacks. So a rollout to the
+        known version is the known one, and keeps what was decided about it.
+        """
+        if rollout.target != known.rollout.target:
+            if (
+                rollout.state in rollout_lib.FINAL_STATES
+                or _identify_state(rollout) in self._earlier
+            ):
+                return False
+            self._start_tracking(rollout, learned_at)
+            return True
+        if known.state in rollout_lib.FINAL_STATES:
+            known.decided = known.state
+        known.rollout = rollout
+        known.learned_at = min(known.learned_at, learned_at)
+        self._remember(rollout)
         return True
 
     def find_rollout(
@@ -120,7 +182,7 @@
     def in_rollout(self) -> bool:
         """Whether any rollout is still in progress."""
         return any(
-            tracked.rollout.state not in rollout_lib.FINAL_STATES
+            tracked.state not in rollout_lib.FINAL_STATES
             for tracked in self._rollouts.values()
         )
 
@@ -165,7 +227,7 @@
         return {target: share, **self._split_evenly(others, 1.0 - share)}
 
     def _compute_target_share(self, tracked: _TrackedRollout) -> float:
-        state = tracked.rollout.state
+        state = tracked.state
         if state is rollout_lib.RolloutState.COMPLETED:
             return 1.0
         if state is rollout_lib.RolloutState.ROLLED_BACK or tracked.bad:
@@ -218,7 +280,7 @@
         """Evaluates new versions; returns rollouts newly found to be bad."""
         bad_rollouts = []
         for tracked in self._rollouts.values():
-            if tracked.bad or tracked.rollout.state in rollout_lib.FINAL_STATES:
+            if tracked.bad or tracked.state in rollout_lib.FINAL_STATES:
                 continue
             tracked.bad = self._find_fault(tracked)
             if tracked.bad:
@@ -239,3 +301,8 @@
             side.extend(tracked.increments.read(member))
         tracked.evidence.add(new, others)
         return tracked.evidence.find_fault()
+
+
+def _identify_state(rollout: rollout_lib.Rollout) -> _RolloutStateId:
+    """Returns what a state keeps when the store is restored."""
+    return rollout.service, rollout.target, rollout.revision.number
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -93,6 +93,7 @@
         self.faults = StoreFaults()
         self.calls = collections.Counter()
         self.revision = 10
+        self.era = 3
         self.objects = {}
         self.events = collections.deque(maxlen=MAX_EVENTS)
         self.oldest_revision = 10
@@ -134,6 +135,17 @@
         self.oldest_revision = self.revision
         self._notify_watches()
 
+    def copy(self):
+        """Returns a copy of the content, see `restore`."""
+        return self.revision, dict(self.objects)
+
+    def restore(self, copy):
+        """Returns to an earlier content; revisions are given out again."""
+        self.revision, objects = copy
+        self.objects = dict(objects)
+        self.era += 1
+        self.compact()
+
     def read_status(self, kind, name):
         return self.objects[kind, name]["status"]
 
@@ -175,7 +187,11 @@
                     return
                 stream.write(
                     http1.encode_response(
-                        http1.Response(status, [], orjson.dumps(document)),
+                        http1.Response(
+                            status,
+                            [(b"store-era", b"%d" % self.era)],
+                            orjson.dumps(document),
+                        ),
                         request.method,
                         True,
                     )
@@ -244,7 +260,7 @@
         since = int(fields["watch"])
         deadline = time.monotonic() + int(fields.get("wait_ms", 0)) / 1000
         while True:
-            if since < self.oldest_revision:
+            if not self.oldest_revision <= since <= self.revision:
                 return 410, {"error": "history is no longer available"}
             events = [
                 {"object": document, "deleted": deleted}
--- a/tests/rollout_model.py
+++ b/tests/rollout_model.py
@@ -10,11 +10,13 @@
 from lycheestair.sidecar import gossip
 from lycheestair.sidecar import latencies
 from lycheestair.sidecar import members
+from lycheestair.sidecar import revisions
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import settings as settings_lib
 from lycheestair.sidecar import versions
 
 SERVICE = ids.ServiceName("desk")
+CREATED = revisions.Revision(1, 5)
 STEP_S = 0.01
 SERVER_START_S = 1.3
 # Time in which a report or a request reaches another node.
@@ -113,7 +115,12 @@
     )
     planner = versions.VersionPlanner(bounds or settings_lib.Bounds(), table)
     rollout = rollout_lib.Rollout(
-        SERVICE, "v2", duration_s, rollout_lib.RolloutState.ORDERED, 5, 5
+        SERVICE,
+        "v2",
+        duration_s,
+        rollout_lib.RolloutState.ORDERED,
+        CREATED,
+        CREATED,
     )
     servers = {"v1": [], "v2": []}
 
@@ -131,7 +138,7 @@
                 12,
                 members.backend.BackendState.SERVING,
             )
-            member.rollout_created_revision = 5
+            member.rollout_created_revision = CREATED
             servers[version].append(Server(member, speed, generator))
         table.invalidate_service_index()
 
@@ -227,7 +234,7 @@
                 dataclasses.replace(
                     rollout,
                     state=rollout_lib.RolloutState.COMPLETED,
-                    revision=6,
+                    revision=CREATED._replace(number=6),
                 ),
                 now,
             )
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -97,7 +97,7 @@
     with contextlib.suppress(ValueError):
         members.decode_record(value)
     with contextlib.suppress(store.StoreUnavailableError):
-        objects._decode_item(value)
+        objects._decode_item(value, 1)
     fields = value if isinstance(value, list) else [value]
     with contextlib.suppress(ValueError):
         calls.decode_call(fields)
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -11,18 +11,31 @@
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import exposure
 from lycheestair.sidecar import members
+from lycheestair.sidecar import revisions
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import settings as settings_lib
 from lycheestair.sidecar import versions as versions_lib
 
 SERVICE = ids.ServiceName("desk")
 ROUTE = ids.RouteName("view")
+CREATED = revisions.Revision(1, 5)
 
 
 def make_rollout(
-    state=rollout_lib.RolloutState.ORDERED, revision=5, target="v2"
+    state=rollout_lib.RolloutState.ORDERED,
+    revision=5,
+    target="v2",
+    era=1,
+    created=5,
 ):
-    return rollout_lib.Rollout(SERVICE, target, 10.0, state, revision, 5)
+    return rollout_lib.Rollout(
+        SERVICE,
+        target,
+        10.0,
+        state,
+        revisions.Revision(era, revision),
+        revisions.Revision(era, created),
+    )
 
 
 def make_report(rollout, age_s=0.0, bad_reason=""):
@@ -50,7 +63,7 @@
             4,
             members.backend.BackendState.SERVING,
         )
-        member.rollout_created_revision = 5
+        member.rollout_created_revision = CREATED
         member.counts = (members.RouteCount(ROUTE, *count),)
     table.invalidate_service_index()
     planner = versions_lib.VersionPlanner(settings_lib.Bounds(), table)
@@ -199,7 +212,7 @@
     restarted.endpoint = members.Endpoint(
         "i9", SERVICE, "v2", 4, members.backend.BackendState.SERVING
     )
-    restarted.rollout_created_revision = 5
+    restarted.rollout_created_revision = CREATED
     restarted.counts = (members.RouteCount(ROUTE, 6, 2, 600),)
     assert planner.detect_bad_versions()
 
@@ -266,9 +279,7 @@
     assert planner.get_bad_reason(SERVICE) == "slow"
     assert not planner.update_rollout(verdict)
     # The same name and version, ordered once more.
-    later = rollout_lib.Rollout(
-        SERVICE, "v2", 10.0, rollout_lib.RolloutState.ORDERED, 12, 12
-    )
+    later = make_rollout(revision=12, created=12)
     assert planner.update_rollout(make_report(later))
     assert not planner.update_rollout(verdict)
     assert not planner.get_bad_reason(SERVICE)
@@ -392,24 +403,26 @@
         store = standins.PlatformStore(platform_world.allocate_address())
         await store.start()
         client = platform_world.program.Platform().connect_store(store.address)
-        item = await client.put("k", "a", [1], 0)
+        item = await client.put("k", "a", [1], None)
         newer = await client.put("k", "a", [2], item.revision)
         refused = await client.put("k", "a", [3], item.revision)
         assert refused.current.value == [2]
         same = await client.put("k", "a", [2], newer.revision)
         assert same.revision == newer.revision
         for number in range(7):
-            await client.put("k", f"b{number}", number, 0)
+            await client.put("k", f"b{number}", number, None)
         listing = await client.list("k")
         assert len(listing.items) == 8
         store.compact()
         store.put("k", "z", 1)
-        changes = await client.watch("k", store.oldest_revision, 1.0)
+        changes = await client.watch(
+            "k", revisions.Revision(store.era, store.oldest_revision), 1.0
+        )
         assert [item.name for item in changes.items] == ["z"]
         with pytest.raises(
             platform_world.node_lib.store_lib.HistoryDiscardedError
         ):
-            await client.watch("k", 1, 1.0)
+            await client.watch("k", revisions.Revision(store.era, 1), 1.0)
         store.stop()
 
     asyncio.run(scenario())
