Follow the other entries of a list that holds an odd one

Cause: one malformed item raised the error of the whole list, and for an entry that a JSON parser refuses the body as a whole was refused. OverflowError, RecursionError and the text of a deeply nested value in an error message were in no except.

Malformed items are now left out, with a warning.

--- a/src/lycheestair/platform/documents.py
+++ b/src/lycheestair/platform/documents.py
@@ -23,6 +23,16 @@
 }
 _STATE_NAMES: Final = {state: name for name, state in _STATES.items()}
 _DEFAULT_MAX_CONNECTIONS: Final = 100
+# Raised by decoding a malformed document, also one that is nested too deeply or
+# has a number that is too large.
+_DECODE_ERRORS: Final = (
+    ArithmeticError,
+    AttributeError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class DocumentCodec:
@@ -35,7 +45,7 @@
             # The platform writes the generation as a version: r1, r2, ...
             version = document["version"]
             if not isinstance(version, str) or version[:1] != "r":
-                raise ValueError(f"malformed version {version!r}")
+                raise ValueError("malformed version")
             limits = document["limits"]
             routes = {
                 route.name: route
@@ -64,7 +74,7 @@
                     float(limits["idle_timeout_s"]),
                 ),
             )
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
+        except _DECODE_ERRORS as error:
             raise store.DocumentError(
                 f"malformed configuration {item.name}: {error!r}"
             ) from error
@@ -89,7 +99,7 @@
                 item.revision,
                 item.created_revision,
             )
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
+        except _DECODE_ERRORS as error:
             raise store.DocumentError(
                 f"malformed rollout {item.name}: {error!r}"
             ) from error
--- a/src/lycheestair/platform/objects.py
+++ b/src/lycheestair/platform/objects.py
@@ -1,15 +1,18 @@
 """Client of the platform's object store."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import Any
 from typing import Final
 import urllib.parse
 
+from absl import logging
 import orjson
 
 from lycheestair import ids
 from lycheestair import messages
 from lycheestair.sidecar import http1
+from lycheestair.sidecar import json_lists
 from lycheestair.sidecar import revisions
 from lycheestair.sidecar import store
 from lycheestair.sidecar import streams
@@ -40,10 +43,11 @@
         for _ in range(_MAX_PAGES):
             query = f"?after={urllib.parse.quote(after)}" if after else ""
             _, era, document = await self._call("GET", f"/{kind}{query}")
-            page = [
-                _decode_item(item, era) for item in document.get("items") or ()
-            ]
-            items.extend(page)
+            entries = _read_list(document, "items")
+            items.extend(
+                _decode_items(((entry, False) for entry in entries), era, kind)
+            )
+            after = _find_last_name(entries, after)
             # Pages may have different revisions. A watch that continues at the
             # revision of the first page reports all changes since then.
             revision = revision or _read_revision(document, era)
@@ -51,9 +55,8 @@
                 raise store.StoreUnavailableError(
                     f"store was restored while {kind} were listed"
                 )
-            if not document.get("has_more") or not page:
+            if not document.get("has_more") or not entries:
                 break
-            after = page[-1].name
         assert revision is not None
         return store.Listing(items, revision)
 
@@ -71,13 +74,15 @@
                 f"no history of {kind} after revision {revision}"
             )
         return store.Listing(
-            [
-                _decode_item(
-                    event.get("object"), era, bool(event.get("deleted"))
-                )
-                for event in document.get("events") or ()
-                if isinstance(event, dict)
-            ],
+            _decode_items(
+                (
+                    (event.get("object"), bool(event.get("deleted")))
+                    for event in _read_list(document, "events")
+                    if isinstance(event, dict)
+                ),
+                era,
+                kind,
+            ),
             _read_revision(document, era),
         )
 
@@ -188,7 +193,7 @@
                 f"{method} {path}: status {response.status}"
             )
         try:
-            document = orjson.loads(response.body) if response.body else {}
+            document = json_lists.decode(response.body) if response.body else {}
         except orjson.JSONDecodeError as error:
             raise store.StoreUnavailableError(
                 f"{method} {path}: answer is not valid JSON"
@@ -236,6 +241,36 @@
     return revisions.Revision(era, revision)
 
 
+def _read_list(document: dict[str, Any], name: str) -> list[Any]:
+    entries = document.get(name) or []
+    if not isinstance(entries, list):
+        raise store.StoreUnavailableError(f"answer has no valid {name}")
+    return entries
+
+
+def _find_last_name(entries: list[Any], default: str) -> str:
+    """Returns the name after which the next page of a list begins."""
+    for entry in reversed(entries):
+        metadata = entry.get("metadata") if isinstance(entry, dict) else None
+        name = metadata.get("name") if isinstance(metadata, dict) else None
+        if isinstance(name, str):
+            return name
+    return default
+
+
+def _decode_items(
+    entries: Iterable[tuple[Any, bool]], era: int, kind: str
+) -> list[store.StoredItem]:
+    """Decodes objects and whether each is deleted; leaves out malformed ones."""
+    items = []
+    for document, deleted in entries:
+        try:
+            items.append(_decode_item(document, era, deleted))
+        except store.StoreUnavailableError as error:
+            logging.warning("malformed object of %s ignored: %s", kind, error)
+    return items
+
+
 def _decode_item(
     document: Any, era: int, deleted: bool = False
 ) -> store.StoredItem:
@@ -251,7 +286,13 @@
             status=document.get("status"),
             deleted=deleted,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise store.StoreUnavailableError(
             f"answer is not a stored object: {error!r}"
         ) from error
