Reject node records with a port or start that is out of range

A record with port 99999 became a member, to which each connection attempt raises OverflowError, and a start above 2^63 can't be sent in a frame.

Cause: decode_record only asked for a colon in the address and any integer. The seven tests failed before.

--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -20,6 +20,9 @@
 # Half-life of the moving average without new outcomes, so that a backend server
 # that gets no requests because of its failures is tried again.
 FAILURE_HALF_LIFE_S: Final = 2.0
+MAX_PORT: Final = 65_535
+# The largest integer in a frame.
+MAX_INCARNATION: Final = 2**63 - 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +50,16 @@
         ]
 
 
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return bool(
+        host
+        and port.isascii()
+        and port.isdecimal()
+        and 0 < int(port[:6]) <= MAX_PORT
+    )
+
+
 def decode_record(fields: Any) -> NodeRecord:
     """Decodes a node record.
 
@@ -58,8 +71,10 @@
     *texts, incarnation = fields
     if not all(isinstance(text, str) and text for text in texts):
         raise ValueError("node record has an empty or non-string field")
-    if not isinstance(incarnation, int) or ":" not in texts[1]:
+    if not isinstance(incarnation, int) or not _is_address(texts[1]):
         raise ValueError("node record has a malformed incarnation or address")
+    if not 0 <= incarnation <= MAX_INCARNATION:
+        raise ValueError("node record has an incarnation out of range")
     return NodeRecord(
         ids.NodeId(texts[0]),
         ids.Address(texts[1]),
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -9,6 +9,7 @@
 from lycheestair.platform import objects
 from lycheestair.sidecar import http1
 from lycheestair.sidecar import json_lists
+from lycheestair.sidecar import members
 
 DEEP = b"[" * 5_000 + b"]" * 5_000
 RECORD = ["n9", "127.0.0.1:7660", "a1", "north", 1]
@@ -92,3 +93,25 @@
                 assert (await world.instances[0].request()).status == 200
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "127.0.0.1:99999"},
+        {"address": "127.0.0.1:0"},
+        {"address": "127.0.0.1:" + "9" * 5_000},
+        {"address": ":7660"},
+        {"address": "127.0.0.1:²"},
+        {"incarnation": -1},
+        {"incarnation": 2**63},
+    ],
+)
+def test_record_out_of_range_is_rejected(change):
+    """Guards against an address that no connection can be opened to."""
+    fields = list(RECORD)
+    members.decode_record(fields)
+    fields[1] = change.get("address", fields[1])
+    fields[4] = change.get("incarnation", fields[4])
+    with pytest.raises(ValueError):
+        members.decode_record(fields)
