Reject heartbeats whose numbers are out of range

A heartbeat of another writer with a start in the far future hid the server beside the node until that time: its own heartbeats counted as older. One with deeply nested slots raised RecursionError while the error message was written, and ended the connection without an answer; any number of slots was accepted.

Cause: only types were checked. Starts more than an hour ahead of the clock, negative numbers and more than 100,000 slots are now refused with 400.

--- a/src/lycheestair/platform/requests.py
+++ b/src/lycheestair/platform/requests.py
@@ -1,5 +1,6 @@
 """Header names of the platform, and its requests to a node."""
 
+import time
 from typing import Any
 from typing import Final
 import urllib.parse
@@ -32,6 +33,13 @@
 }
 
 
+# More slots than a backend server has.
+_MAX_SLOTS: Final = 100_000
+# A start in the future by more than clocks differ. It would hide all later
+# incarnations.
+_MAX_CLOCK_DIFFERENCE_MS: Final = 3_600_000
+
+
 class AnnouncementError(ValueError):
     """The request is not a valid heartbeat or deregistration."""
 
@@ -66,7 +74,9 @@
     except orjson.JSONDecodeError:
         return 0
     started = document.get("born") if isinstance(document, dict) else None
-    return started if isinstance(started, int) else 0
+    if not isinstance(started, int) or started > _read_max_start_ms():
+        return 0
+    return started
 
 
 def _decode_heartbeat(instance: str, body: bytes) -> backend.Announcement:
@@ -78,12 +88,16 @@
             instance=instance,
             state=_STATES[status["state"]],
             # The platform calls the start time of an incarnation "born".
-            started_ms=_check_type(document.get("born", 0), int),
+            started_ms=_check_range(
+                _check_type(document.get("born", 0), int), _read_max_start_ms()
+            ),
             sequence=_check_type(status["sequence"], int),
             address=ids.Address(_check_type(document["address"], str)),
             service=ids.ServiceName(_check_type(information["service"], str)),
             version=ids.VersionName(_check_type(information["version"], str)),
-            slots=_check_type(information["slots"], int),
+            slots=_check_range(
+                _check_type(information["slots"], int), _MAX_SLOTS
+            ),
             warmup_s=float(
                 _check_type(status.get("cold_remaining_s", 0), int, float)
             ),
@@ -92,7 +106,17 @@
         raise AnnouncementError(f"malformed heartbeat: {error!r}") from error
 
 
+def _read_max_start_ms() -> int:
+    return int(time.time() * 1000) + _MAX_CLOCK_DIFFERENCE_MS
+
+
 def _check_type(value: Any, *types: type) -> Any:
     if not isinstance(value, types) or isinstance(value, bool):
-        raise TypeError(f"{value!r} has the wrong type")
+        raise TypeError(f"value has the wrong type {type(value).__name__}")
+    return value
+
+
+def _check_range(value: int, upper: int) -> int:
+    if not 0 <= value <= upper:
+        raise ValueError("number is out of range")
     return value
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -7,6 +7,7 @@
 from test_platform_path import run_scenario
 
 from lycheestair.platform import objects
+from lycheestair.platform import requests
 from lycheestair.sidecar import http1
 from lycheestair.sidecar import json_lists
 from lycheestair.sidecar import members
@@ -115,3 +116,40 @@
     fields[4] = change.get("incarnation", fields[4])
     with pytest.raises(ValueError):
         members.decode_record(fields)
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b'"slots":%s' % (b"[" * 1_000 + b"]" * 1_000),
+        b'"slots":' + b"[" * 5_000 + b"]" * 5_000,
+        b'"slots":1e400',
+        b'"slots":-1',
+        b'"slots":9000000000000000000',
+    ],
+)
+def test_odd_heartbeat_is_rejected(part):
+    """Guards against a heartbeat whose error message can't be written."""
+    body = (
+        b'{"address":"127.0.0.1:1","born":1,"information":{"service":"s",'
+        b'"version":"v","zone":"z",%s},"status":{"state":"ready","sequence":1}}'
+    ) % part
+    target = b"/-/rpc?call=instances.heartbeat&of=i-1"
+    with pytest.raises(requests.AnnouncementError):
+        requests.decode_announcement(
+            http1.Request(b"POST", target, "h", [], body)
+        )
+
+
+def test_start_in_the_future_does_not_hide_later_incarnations():
+    """Guards against a server that is lost because of one odd heartbeat."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk")) as world:
+            (instance,) = world.instances
+            server = instance.backend_server
+            assert await server.announce(born=2**62) == 400
+            assert await server.announce() == 200
+            assert (await instance.request()).status == 200
+
+    run_scenario(scenario)
