Learn rollouts before the configuration when a node starts

A node that starts during a rollout, and reads the store itself, served requests from the moment it had the configuration. Until the next call to the store was answered it knew no rollout: it took the versions that it found for old ones and gave the new one an even share, bad or not.

The rollouts are read first now. The test failed before.

--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -228,10 +228,12 @@
                     break
                 await asyncio.sleep(POLL_INTERVAL_S / 4)
         if not self._gossip.catalog.generation and self._update_active():
-            listing = await self._store.list(self._kinds.configuration)
-            self._apply_catalogs(listing.items)
+            # A node with a configuration serves requests. Without the rollout, it
+            # would give a new version an even share.
             listing = await self._store.list(self._kinds.rollouts)
             self._apply_rollouts(listing.items)
+            listing = await self._store.list(self._kinds.configuration)
+            self._apply_catalogs(listing.items)
 
     def _peers_lack_configuration(self) -> bool:
         """Whether no peer has a configuration, so that waiting is useless.
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -11,6 +11,7 @@
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import exposure
 from lycheestair.sidecar import members
+from lycheestair.sidecar import replica
 from lycheestair.sidecar import revisions
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import settings as settings_lib
@@ -396,6 +397,37 @@
     asyncio.run(asyncio.wait_for(scenario(), 30))
 
 
+def test_node_that_starts_learns_rollouts_before_it_serves(monkeypatch):
+    """Guards against an even share for a bad version after a restart."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk")) as world:
+            world.store.put(
+                "rollouts",
+                "desk",
+                {"service": "desk", "target_version": "v2", "duration_s": 60},
+            )
+            (instance,) = world.instances
+            instance.node.stop()
+            await asyncio.sleep(0.1)
+            known = []
+            activate = replica.CatalogReplica.activate
+
+            def record_and_activate(self, catalog):
+                planner = instance.node._planner
+                known.append(planner.find_rollout(SERVICE) is not None)
+                return activate(self, catalog)
+
+            monkeypatch.setattr(
+                replica.CatalogReplica, "activate", record_and_activate
+            )
+            await instance.start_node()
+            await platform_world.wait_for(instance.is_ready)
+            assert known[0]
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
 def test_standin_implements_conditional_writes():
     """Guards the stand-in against stale revisions that overwrite objects."""
 
