Count only crashes that follow one another against a request

Found by reading: when several servers crash together, copies of one harmless request may be lost at three of them, and without an answer in between all nodes would refuse it for 10 minutes.

Suspects now keep when each attempt began and was lost, and count attempts that follow one another, since a request that crashes servers comes again after each. A node also checks for a crash once at a time instead of once for each lost request. The test with eight servers that crash together failed before.

--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -98,7 +98,7 @@
         self.suspects = suspects_lib.SuspectTable()
         self.on_suspects_change: Callable[[], None] = lambda: None
         self._losses = suspects_lib.LossTracker()
-        self._crash_checks: set[asyncio.Task[None]] = set()
+        self._crash_check: asyncio.Task[None] | None = None
         self.sent_requests = 0
         self.sent_retries = 0
         self._settings = settings
@@ -345,11 +345,13 @@
                 self.on_suspects_change()
         elif outcome.kind in UNANSWERED:
             self._losses.add(
-                suspects_lib.compute_fingerprint(call), clock.read_s()
+                suspects_lib.compute_fingerprint(call),
+                (started_at, clock.read_s()),
             )
-            task = asyncio.get_running_loop().create_task(self._check_crash())
-            self._crash_checks.add(task)
-            task.add_done_callback(self._crash_checks.discard)
+            if self._crash_check is None or self._crash_check.done():
+                self._crash_check = asyncio.get_running_loop().create_task(
+                    self._check_crash()
+                )
 
     async def _check_crash(self) -> None:
         """Finds out whether the backend server accepts connections."""
@@ -375,15 +377,13 @@
         known = self._latest_announcement
         if not self._losses or known is None:
             return
-        crash, fingerprints = self._losses.take_crash(
-            known.instance, known.started_ms
-        )
-        self.suspects.record_crash(crash, fingerprints, clock.read_s())
+        crash, lost = self._losses.take_crash(known.instance, known.started_ms)
+        self.suspects.record_crash(crash, lost, clock.read_s())
         self._log.write(
             "backend server crashed",
             instance=known.instance,
             crash=crash,
-            suspects=[fingerprint.hex() for fingerprint in fingerprints],
+            suspects=[fingerprint.hex() for fingerprint in lost],
         )
         self.on_suspects_change()
 
--- a/src/lycheestair/sidecar/suspects.py
+++ b/src/lycheestair/sidecar/suspects.py
@@ -7,10 +7,11 @@
 learns it from the others.
 """
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import hashlib
 import itertools
+import math
 from typing import Any
 from typing import Final
 from typing import NewType
@@ -21,10 +22,15 @@
 Fingerprint = NewType("Fingerprint", bytes)
 # Identifies a crash: the instance that crashed and a number.
 CrashId = NewType("CrashId", str)
+# Times at which a request began and was lost. They are those of `clock.read_s`.
+Attempt = tuple[float, float]
 
-# Crashes after which a request is refused. The first ones may have been caused by
-# another request that was processed at the same time.
+# Crashes, one after the other, after which a request is refused. The first ones may
+# have been caused by another request that was processed at the same time.
 CRASH_LIMIT: Final = 3
+# Attempts that overlap by less than this count as one after the other: their times
+# were measured at different nodes.
+MAX_TIME_DIFFERENCE_S: Final = 0.1
 # A refused request is tried again after this long, when the servers may have been
 # repaired.
 RETENTION_S: Final = 600.0
@@ -38,17 +44,38 @@
     """A request and the crashes during which it was being processed.
 
     Attributes:
+      crashes: The attempt that was lost in each crash.
       cleared: Crashes before the latest answer to the request.
-      crashed_at: Time of the latest crash.
     """
 
-    crashes: set[CrashId]
+    crashes: dict[CrashId, Attempt]
     cleared: set[CrashId]
-    crashed_at: float
+
+    @property
+    def crashed_at(self) -> float:
+        return max(lost_at for _, lost_at in self.crashes.values())
 
     @property
     def is_refused(self) -> bool:
-        return len(self.crashes - self.cleared) >= CRASH_LIMIT
+        """Whether enough attempts were lost one after the other.
+
+        Copies of a harmless request may be lost at the same time when several
+        servers crash together.
+        """
+        count = 0
+        previous_lost_at = -math.inf
+        for began_at, lost_at in sorted(
+            (
+                attempt
+                for crash, attempt in self.crashes.items()
+                if crash not in self.cleared
+            ),
+            key=lambda attempt: attempt[1],
+        ):
+            if began_at >= previous_lost_at - MAX_TIME_DIFFERENCE_S:
+                count += 1
+                previous_lost_at = lost_at
+        return count >= CRASH_LIMIT
 
 
 class SuspectTable:
@@ -61,19 +88,22 @@
         return bool(self._suspects)
 
     def record_crash(
-        self, crash: CrashId, fingerprints: Iterable[Fingerprint], now: float
+        self,
+        crash: CrashId,
+        lost: Mapping[Fingerprint, Attempt],
+        now: float,
     ) -> None:
         """Records the requests that were being processed at a crash."""
-        for fingerprint in fingerprints:
-            self._merge(fingerprint, {crash}, set(), now)
+        for fingerprint, attempt in lost.items():
+            self._merge(fingerprint, {crash: attempt}, set())
         self._evict(now)
 
     def clear(self, fingerprint: Fingerprint) -> bool:
         """Records an answer to a request; returns whether it was a suspect."""
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or suspect.crashes <= suspect.cleared:
+        if suspect is None or suspect.crashes.keys() <= suspect.cleared:
             return False
-        suspect.cleared |= suspect.crashes
+        suspect.cleared |= suspect.crashes.keys()
         return True
 
     def read_refusal_s(self, fingerprint: Fingerprint, now: float) -> float:
@@ -88,9 +118,11 @@
         return [
             [
                 fingerprint,
-                sorted(suspect.crashes),
+                [
+                    [crash, now - began_at, now - lost_at]
+                    for crash, (began_at, lost_at) in suspect.crashes.items()
+                ],
                 sorted(suspect.cleared),
-                now - suspect.crashed_at,
             ]
             for fingerprint, suspect in self._suspects.items()
         ]
@@ -102,13 +134,24 @@
           TypeError, ValueError: The fields are malformed.
         """
         decoded = [
-            (Fingerprint(bytes(fingerprint)), set(crashes), set(cleared), age_s)
-            for fingerprint, crashes, cleared, age_s in fields
+            (
+                Fingerprint(bytes(fingerprint)),
+                {
+                    CrashId(crash): (
+                        now - float(began_age_s),
+                        now - float(lost_age_s),
+                    )
+                    for crash, began_age_s, lost_age_s in crashes
+                    if lost_age_s < RETENTION_S
+                },
+                set(cleared),
+            )
+            for fingerprint, crashes, cleared in fields
         ]
         changed = [
-            self._merge(fingerprint, crashes, cleared, now - max(0.0, age_s))
-            for fingerprint, crashes, cleared, age_s in decoded
-            if age_s < RETENTION_S
+            self._merge(fingerprint, crashes, cleared)
+            for fingerprint, crashes, cleared in decoded
+            if crashes
         ]
         self._evict(now)
         return any(changed)
@@ -116,19 +159,17 @@
     def _merge(
         self,
         fingerprint: Fingerprint,
-        crashes: set[CrashId],
+        crashes: dict[CrashId, Attempt],
         cleared: set[CrashId],
-        crashed_at: float,
     ) -> bool:
         known = self._suspects.get(fingerprint)
         if known is None:
-            self._suspects[fingerprint] = _Suspect(crashes, cleared, crashed_at)
+            self._suspects[fingerprint] = _Suspect(crashes, cleared)
             return True
-        if crashes <= known.crashes and cleared <= known.cleared:
+        if crashes.keys() <= known.crashes.keys() and cleared <= known.cleared:
             return False
-        known.crashes |= crashes
+        known.crashes = crashes | known.crashes
         known.cleared |= cleared
-        known.crashed_at = max(known.crashed_at, crashed_at)
         return True
 
     def _evict(self, now: float) -> None:
@@ -160,30 +201,36 @@
     """
 
     def __init__(self) -> None:
-        self._lost: list[tuple[float, Fingerprint]] = []
+        self._lost: dict[Fingerprint, Attempt] = {}
         self._crash_numbers = itertools.count(1)
 
     def __bool__(self) -> bool:
         return bool(self._lost)
 
-    def add(self, fingerprint: Fingerprint, now: float) -> None:
+    def add(self, fingerprint: Fingerprint, attempt: Attempt) -> None:
         """Adds a request without an answer."""
-        self._lost.append((now, fingerprint))
-        del self._lost[:-MAX_SUSPECTS]
+        self._lost.pop(fingerprint, None)
+        self._lost[fingerprint] = attempt
+        if len(self._lost) > MAX_SUSPECTS:
+            del self._lost[next(iter(self._lost))]
 
     def record_answer(self, sent_at: float) -> None:
         """Drops the requests that were lost before an answered one was sent."""
-        self._lost = [entry for entry in self._lost if entry[0] >= sent_at]
+        self._lost = {
+            fingerprint: attempt
+            for fingerprint, attempt in self._lost.items()
+            if attempt[1] >= sent_at
+        }
 
     def clear(self) -> None:
         """Drops all requests, because their server has left as planned."""
-        self._lost = []
+        self._lost = {}
 
     def take_crash(
         self, instance: str, started_ms: int
-    ) -> tuple[CrashId, list[Fingerprint]]:
+    ) -> tuple[CrashId, dict[Fingerprint, Attempt]]:
         """Returns the crash of an instance, and the requests it was processing."""
-        lost = [fingerprint for _, fingerprint in self._lost]
-        self._lost = []
+        lost = self._lost
+        self._lost = {}
         number = next(self._crash_numbers)
         return CrashId(f"{instance}/{started_ms}/{number}"), lost
--- a/tests/test_platform_suspects.py
+++ b/tests/test_platform_suspects.py
@@ -12,6 +12,12 @@
 REQUEST = suspects_lib.Fingerprint(b"request")
 
 
+def record_crash(table, number):
+    """Records a crash half a second after the request began."""
+    attempt = (float(number), number + 0.5)
+    table.record_crash(f"crash {number}", {REQUEST: attempt}, number + 0.5)
+
+
 class CrashingServers:
     """Backend servers that crash when they begin to run a certain request."""
 
@@ -95,11 +101,20 @@
     """Guards against refusing a request because another one crashed servers."""
     table = suspects_lib.SuspectTable()
     for number in range(suspects_lib.CRASH_LIMIT - 1):
-        table.record_crash(f"crash {number}", [REQUEST], 1.0)
+        record_crash(table, number)
     assert table.clear(REQUEST)
     assert not table.clear(REQUEST)
-    table.record_crash("one more", [REQUEST], 2.0)
-    assert not table.read_refusal_s(REQUEST, 2.0)
+    record_crash(table, 8)
+    assert not table.read_refusal_s(REQUEST, 9.0)
+
+
+def test_servers_that_crash_together_make_no_refusal():
+    """Guards against refusing a request of which many copies are processed."""
+    table = suspects_lib.SuspectTable()
+    for number in range(8):
+        attempt = (1.0 + number / 10, 2.0 + number / 100)
+        table.record_crash(f"crash {number}", {REQUEST: attempt}, 3.0)
+    assert not table.read_refusal_s(REQUEST, 3.0)
 
 
 @pytest.mark.parametrize("order", [1, -1])
@@ -107,13 +122,16 @@
     """Guards against nodes that know different suspects for good."""
     tables = [suspects_lib.SuspectTable() for _ in range(3)]
     for number, table in enumerate(tables):
-        table.record_crash(f"crash {number}", [REQUEST], 1.0)
+        record_crash(table, number)
     merged = suspects_lib.SuspectTable()
     for table in tables[::order]:
-        assert merged.merge(table.encode(1.0), 1.0)
-        assert not merged.merge(table.encode(1.0), 1.0)
-    assert merged.read_refusal_s(REQUEST, 1.0) == suspects_lib.RETENTION_S
-    assert not merged.read_refusal_s(REQUEST, 2.0 + suspects_lib.RETENTION_S)
+        assert merged.merge(table.encode(3.0), 3.0)
+        assert not merged.merge(table.encode(3.0), 3.0)
+    # The latest crash was at 2.5 s.
+    assert merged.read_refusal_s(REQUEST, 3.0) == pytest.approx(
+        suspects_lib.RETENTION_S - 0.5
+    )
+    assert not merged.read_refusal_s(REQUEST, 3.0 + suspects_lib.RETENTION_S)
 
 
 def test_number_of_suspects_is_bounded():
@@ -121,5 +139,6 @@
     table = suspects_lib.SuspectTable()
     for number in range(2 * suspects_lib.MAX_SUSPECTS):
         fingerprint = suspects_lib.Fingerprint(b"%d" % number)
-        table.record_crash(f"crash {number}", [fingerprint], float(number))
+        attempt = (number + 0.1, number + 0.2)
+        table.record_crash(f"crash {number}", {fingerprint: attempt}, 0.0)
     assert len(table.encode(0.0)) == suspects_lib.MAX_SUSPECTS
