Don't write the state of a rollout that the store lacks in every period

Found by reading: until the operator writes a rollout again that a restore has lost, the first feeder wrote its state every 0.1 s and got 404, and each call is billed. It now waits 0.5 s. The test failed before.

--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -42,6 +42,9 @@
 STORE_PROBE_INTERVAL_S: Final = 1.0
 SLOW_STORE_PROBE_INTERVAL_S: Final = 10.0
 POLL_INTERVAL_S: Final = 0.1
+# A status that the store has refused without its current object is written again
+# after this delay: a restored store may lack the rollout.
+STATUS_RETRY_DELAY_S: Final = 0.5
 # The first feeder removes the record of a node that has been unreachable for
 # this long.
 REMOVE_UNREACHABLE_AFTER_S: Final = 20.0
@@ -75,6 +78,8 @@
         self._record_revisions: dict[str, revisions.Revision] = {}
         # Reachable nodes whose records the store lacks.
         self._unrecorded: set[ids.NodeId] = set()
+        # Times before which no status of a service's rollout is written again.
+        self._status_retry_at: dict[ids.ServiceName, float] = {}
         self._unreachable_since: dict[ids.NodeId, float] = {}
         self._active = False
         # Set while this node acts as a feeder.
@@ -406,8 +411,12 @@
             rollout.duration_s
         ) and rollout.target in self._table.list_versions(rollout.service):
             state = rollout_lib.RolloutState.COMPLETED
-        if state is rollout.state:
+        now = clock.read_s()
+        if state is rollout.state or now < self._status_retry_at.get(
+            rollout.service, 0.0
+        ):
             return
+        self._status_retry_at[rollout.service] = now + STATUS_RETRY_DELAY_S
         result: Any = await self._store.put_status(
             self._kinds.rollouts,
             rollout.service,
@@ -427,6 +436,7 @@
             reason=report.bad_reason,
         )
         if item is not None:
+            del self._status_retry_at[rollout.service]
             self._apply_rollouts([item])
 
     async def _write_missing_records(self) -> None:
--- a/tests/test_platform_restore.py
+++ b/tests/test_platform_restore.py
@@ -123,6 +123,28 @@
     run_scenario(scenario)
 
 
+def test_rollout_that_a_restored_store_lacks_is_not_written_all_the_time():
+    """Guards against a call to the store in every period of the task."""
+
+    async def scenario():
+        async with platform_world.run(*INSTANCES) as world:
+            copy = world.store.copy()
+            order(world, "v2", 60)
+            await platform_world.wait_for(
+                lambda: read_state(world) == ("v2", "running")
+            )
+            for instance in world.instances:
+                (tracked,) = instance.node._planner._rollouts.values()
+                tracked.bad = "slow"
+            world.store.restore(copy)
+            await asyncio.sleep(0.5)
+            before = world.store.calls["PUT"]
+            await asyncio.sleep(2.0)
+            assert world.store.calls["PUT"] - before <= 5
+
+    run_scenario(scenario)
+
+
 def test_node_records_that_a_restore_lost_are_written_again():
     """Guards against nodes that nobody who starts later can find."""
 
