Send frequent reports only until shortly after a rollout is due

Found by reading: a rollout that never ends, because its servers don't start or the store is away, kept all nodes at five reports a second. It ends 2 s after the rollout is due. A report that was read already is not compared again, which is most of them while reports are read every 0.1 s. The test failed before.

--- a/src/lycheestair/sidecar/evidence.py
+++ b/src/lycheestair/sidecar/evidence.py
@@ -158,6 +158,8 @@
     """
 
     def __init__(self) -> None:
+        # Latest report of each member.
+        self._reports: dict[ids.NodeId, tuple[members.RouteCount, ...]] = {}
         # Incarnation and latest counts of each member.
         self._known: dict[
             ids.NodeId, tuple[int, dict[ids.RouteName, members.RouteCount]]
@@ -166,6 +168,9 @@
     def read(self, member: members.Member) -> list[members.RouteCount]:
         """Returns the outcomes that are new in a member's latest report."""
         record = member.record
+        if self._reports.get(record.node_id) is member.counts:
+            return []
+        self._reports[record.node_id] = member.counts
         incarnation, known = self._known.get(record.node_id, (0, {}))
         latest = {count.route: count for count in member.counts}
         if incarnation != record.incarnation or any(
--- a/src/lycheestair/sidecar/exposure.py
+++ b/src/lycheestair/sidecar/exposure.py
@@ -20,8 +20,10 @@
 # Time before the rollout is due for writing the final state and for an operator
 # to read it, which may poll the store only twice a second.
 COMPLETION_LEAD_S: Final = 0.7
-# Begins this long before the new version takes over; see `is_critical`.
+# Times before the new version takes over and after the rollout is due between which
+# a fault must be found quickly, see `is_critical`.
 CRITICAL_LEAD_S: Final = 0.5
+CRITICAL_TAIL_S: Final = 2.0
 # A rollout without evidence keeps its small share for longer: the old servers
 # then get only this time to finish.
 SHORT_FULL_SHARE_S: Final = 0.3
@@ -86,7 +88,8 @@
 
     The new version has the whole traffic, or is about to get it.
     """
-    return elapsed_s >= compute_takeover_s(duration_s) - CRITICAL_LEAD_S
+    start_s = compute_takeover_s(duration_s) - CRITICAL_LEAD_S
+    return start_s <= elapsed_s <= duration_s + CRITICAL_TAIL_S
 
 
 def compute_share(
--- a/tests/test_platform_exposure.py
+++ b/tests/test_platform_exposure.py
@@ -3,6 +3,7 @@
 import pytest
 import rollout_model
 
+from lycheestair.sidecar import exposure
 from lycheestair.sidecar import settings as settings_lib
 
 BOUNDS = settings_lib.Bounds(exposure_share=0.1, exposure_slack=50.0)
@@ -72,6 +73,12 @@
         assert result.found_at is None, result
 
 
+def test_reports_are_frequent_only_while_a_version_takes_over():
+    """Guards against the cost of a rollout whose servers never start."""
+    critical = [at for at in range(40) if exposure.is_critical(float(at), 16.0)]
+    assert critical == [15, 16, 17, 18]
+
+
 def test_falling_traffic_does_not_raise_the_exposed_share(monkeypatch):
     """Guards against an allowance computed from traffic that has gone."""
     for begins_s in (0.0, 6.0, 7.5):
