Read reports of nodes of the previous release

Found by reading: revisions with an era made every status of a node of the previous release malformed, so that nodes of two releases couldn't see each other, even without any rollout. Numbers alone, counts without latencies and reports without a verdict are read again, and a status without a rollout is sent as before.

--- a/src/lycheestair/sidecar/revisions.py
+++ b/src/lycheestair/sidecar/revisions.py
@@ -25,8 +25,10 @@
 def decode(fields: Any) -> Revision:
     """Decodes the revision of another node.
 
+    Nodes of the previous release know no eras and send the number alone.
+
     Raises:
       TypeError, ValueError: The fields are malformed.
     """
-    era, number = fields
+    era, number = (0, fields) if isinstance(fields, int) else fields
     return Revision(int(era), int(number))
--- a/src/lycheestair/sidecar/rollout.py
+++ b/src/lycheestair/sidecar/rollout.py
@@ -74,6 +74,8 @@
 def decode(fields: list[Any]) -> RolloutReport:
     """Decodes a report of another node.
 
+    Nodes of the previous release send no verdict.
+
     Raises:
       TypeError, ValueError: The fields are not those of a report.
     """
@@ -85,9 +87,9 @@
         revision,
         created_revision,
         age_s,
-        bad_reason,
-        decided,
+        *verdict,
     ) = fields
+    bad_reason, decided = verdict or ("", None)
     return RolloutReport(
         Rollout(
             service,
--- a/src/lycheestair/sidecar/statuses.py
+++ b/src/lycheestair/sidecar/statuses.py
@@ -50,9 +50,8 @@
             own.leaving,
             own.store_available,
             own.store_latency_ms,
-            own.rollout_created_revision
-            if has_counts
-            else revisions.NO_REVISION,
+            # Without a rollout, nodes of the previous release can read it too.
+            own.rollout_created_revision if has_counts else 0,
             [dataclasses.astuple(count) for count in own.counts]
             if has_counts
             else None,
@@ -125,9 +124,13 @@
     running, waiting, service_time_ms, failed_percent = load
     decoded_counts = tuple(
         members.RouteCount(
-            route, answers, failures, total_ms, latencies.decode(histogram)
+            route,
+            answers,
+            failures,
+            total_ms,
+            latencies.decode(rest[0] if rest else ()),
         )
-        for route, answers, failures, total_ms, histogram in counts or ()
+        for route, answers, failures, total_ms, *rest in counts or ()
     )
     decoded_revision = revisions.decode(rollout_created_revision)
     member.status_number = number
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -15,6 +15,7 @@
 from lycheestair.sidecar import revisions
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import settings as settings_lib
+from lycheestair.sidecar import statuses
 from lycheestair.sidecar import versions as versions_lib
 
 SERVICE = ids.ServiceName("desk")
@@ -286,6 +287,21 @@
     assert not planner.get_bad_reason(SERVICE)
 
 
+def test_reports_of_the_previous_release_are_read():
+    """Guards against nodes that can't see each other during an upgrade."""
+    fields = ["desk", "v2", 10.0, "running", 7, 5, 1.5]
+    report = rollout_lib.decode(fields)
+    assert report.rollout.revision == revisions.Revision(0, 7)
+    assert (report.bad_reason, report.decided) == ("", None)
+    member = members.Member(
+        members.NodeRecord("n1", "127.0.0.1:1", "a1", "north", 1)
+    )
+    status = [1, None, [0, 0, 0, 0], 3, False, True, 4, 5]
+    statuses.apply_status(member, [*status, [["view", 9, 1, 900]]])
+    assert member.rollout_created_revision == revisions.Revision(0, 5)
+    assert member.counts == (members.RouteCount(ROUTE, 9, 1, 900),)
+
+
 def test_version_found_bad_by_another_node_is_not_completed(monkeypatch):
     """Guards against a completion by a node that hasn't seen the evidence."""
 
