Count the outcomes of a rollout from its own order

Cause: counts began anew only when the object was created anew. Answers of the previous rollout passed for those of this one, so that the rate of requests was overestimated and the new version got fewer requests than it should show a fault with. Nodes now count anew for each target, and what is reported when a rollout replaces another is not read for it.

--- a/src/lycheestair/sidecar/statuses.py
+++ b/src/lycheestair/sidecar/statuses.py
@@ -26,7 +26,10 @@
         self._serving_node = server
         self._planner = planner
         self._status_number = 0
-        self._counted_rollout_created_revision = revisions.NO_REVISION
+        # Target and creation of the rollout whose outcomes are counted.
+        self._counted_rollout: (
+            tuple[ids.VersionName, revisions.Revision] | None
+        ) = None
 
     def encode(self) -> list[Any]:
         """Returns the current status as a list of plain values."""
@@ -70,8 +73,10 @@
         rollout = self._planner.find_rollout(endpoint.service)
         if rollout is None:
             return False
-        if self._counted_rollout_created_revision != rollout.created_revision:
-            self._counted_rollout_created_revision = rollout.created_revision
+        # The operator may order the next rollout in the same object.
+        counted_rollout = (rollout.target, rollout.created_revision)
+        if self._counted_rollout != counted_rollout:
+            self._counted_rollout = counted_rollout
             self._serving_node.clear_counts()
         if rollout.state in rollout_lib.FINAL_STATES:
             return False
--- a/src/lycheestair/sidecar/versions.py
+++ b/src/lycheestair/sidecar/versions.py
@@ -138,7 +138,12 @@
     def _start_tracking(
         self, rollout: rollout_lib.Rollout, learned_at: float
     ) -> None:
-        self._rollouts[rollout.service] = _TrackedRollout(rollout, learned_at)
+        tracked = _TrackedRollout(rollout, learned_at)
+        if rollout.service in self._rollouts:
+            # What members report now belongs to the previous rollout.
+            for member in self._table:
+                tracked.increments.read(member)
+        self._rollouts[rollout.service] = tracked
         self._remember(rollout)
 
     def _remember(self, rollout: rollout_lib.Rollout) -> None:
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -178,6 +178,50 @@
     assert detected_at == 5
 
 
+def test_outcomes_of_the_previous_rollout_do_not_count():
+    """Guards against a second rollout judged by the answers of the first."""
+    planner = make_planner(("v1", 900, 0, 90000), ("v2", 900, 30, 90000))
+    planner.update_rollout(make_report(make_rollout()))
+    planner.detect_bad_versions()
+    done = make_rollout(rollout_lib.RolloutState.COMPLETED, revision=6)
+    planner.update_rollout(make_report(done))
+    # The operator orders it in the same object.
+    later = make_rollout(revision=7, target="v3")
+    planner.update_rollout(make_report(later))
+    planner.detect_bad_versions()
+    (tracked,) = planner._rollouts.values()
+    assert tracked.evidence.all_answers == 0
+    # The counts begin again.
+    for member in planner._table.list_others():
+        member.counts = (members.RouteCount(ROUTE, 10, 0, 1000),)
+    planner.detect_bad_versions()
+    assert tracked.evidence.all_answers == 20
+
+
+def test_nodes_count_outcomes_of_each_rollout_from_its_order():
+    """Guards against counts of the previous rollout in the reports."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk")) as world:
+            (instance,) = world.instances
+            server = instance.node._server
+            for target in ("v2", "v3"):
+                for _ in range(3):
+                    await instance.request()
+                world.store.put(
+                    "rollouts",
+                    "desk",
+                    {
+                        "service": "desk",
+                        "target_version": target,
+                        "duration_s": 60,
+                    },
+                )
+                await platform_world.wait_for(lambda: not server.counts)
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
 def test_late_failures_are_found_within_a_second(monkeypatch):
     """Guards against a fault that the successes before it hide for seconds."""
     now = clock.read_s()
