Don't apply a late verdict to a later rollout in the same object

Found by reading: a report that was sent before a rollout ended could mark the next rollout to the same version bad, if the operator orders it in the same object. A report of a revision from before a node knew the rollout is no longer applied. The test failed before.

--- a/src/lycheestair/sidecar/versions.py
+++ b/src/lycheestair/sidecar/versions.py
@@ -10,6 +10,7 @@
 from lycheestair.sidecar import evidence as evidence_lib
 from lycheestair.sidecar import exposure
 from lycheestair.sidecar import members
+from lycheestair.sidecar import revisions
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import settings as settings_lib
 
@@ -30,12 +31,15 @@
 
     Attributes:
       learned_at: Time in seconds at which a node first learned of it.
+      first_revision: Revision at which this node first knew it. Reports of
+        earlier ones may belong to an earlier rollout to the same version.
       bad: Why the new version was found bad, empty if it was not.
       decided: Final state that it reached before the store was restored.
     """
 
     rollout: rollout_lib.Rollout
     learned_at: float
+    first_revision: revisions.Revision
     bad: str = ""
     decided: rollout_lib.RolloutState | None = None
     evidence: evidence_lib.Evidence = dataclasses.field(
@@ -95,6 +99,7 @@
         if (
             known.rollout.target != rollout.target
             or known.rollout.created_revision != rollout.created_revision
+            or rollout.revision < known.first_revision
         ):
             return is_newer
         learns_decision = report.decided is not None and known.decided is None
@@ -138,7 +143,7 @@
     def _start_tracking(
         self, rollout: rollout_lib.Rollout, learned_at: float
     ) -> None:
-        tracked = _TrackedRollout(rollout, learned_at)
+        tracked = _TrackedRollout(rollout, learned_at, rollout.revision)
         if rollout.service in self._rollouts:
             # What members report now belongs to the previous rollout.
             for member in self._table:
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -21,6 +21,7 @@
 SERVICE = ids.ServiceName("desk")
 ROUTE = ids.RouteName("view")
 CREATED = revisions.Revision(1, 5)
+STATES = rollout_lib.RolloutState
 
 
 def make_rollout(
@@ -329,6 +330,14 @@
     assert planner.update_rollout(make_report(later))
     assert not planner.update_rollout(verdict)
     assert not planner.get_bad_reason(SERVICE)
+    # The same, ordered in the same object.
+    done = make_rollout(STATES.ROLLED_BACK, revision=14, created=12)
+    planner.update_rollout(make_report(done))
+    again = make_rollout(revision=15, created=12)
+    assert planner.update_rollout(make_report(again))
+    late = make_report(make_rollout(revision=13, created=12), 1.0, "slow")
+    assert not planner.update_rollout(late)
+    assert not planner.get_bad_reason(SERVICE)
 
 
 def test_reports_of_the_previous_release_are_read():
