--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -416,7 +416,6 @@
             rollout.service, 0.0
         ):
             return
-        self._status_retry_at[rollout.service] = now + STATUS_RETRY_DELAY_S
         result: Any = await self._store.put_status(
             self._kinds.rollouts,
             rollout.service,
@@ -435,8 +434,9 @@
             state=state.value,
             reason=report.bad_reason,
         )
-        if item is not None:
-            del self._status_retry_at[rollout.service]
+        if item is None:
+            self._status_retry_at[rollout.service] = now + STATUS_RETRY_DELAY_S
+        else:
             self._apply_rollouts([item])
 
     async def _write_missing_records(self) -> None:
