--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -11,6 +11,7 @@
 
 from lycheestair.sidecar import feeder
 from lycheestair.sidecar import http1
+from lycheestair.sidecar import serving
 from lycheestair.sidecar import streams
 
 THREE_NODES = (("n1", "desk"), ("n2", "desk"), ("n3", "press"))
@@ -291,7 +292,7 @@
             for _ in range(5):
                 assert (await instance.request()).status == 200
             assert len(backend_server.received_requests) == received_before
-            backend_server.started_ms = 10**15
+            backend_server.started_ms = serving.read_unix_ms() + 1_000
             assert await backend_server.announce() == 200
             await platform_world.wait_for(
                 lambda: instance.node._server.endpoint is not None
