--- a/tests/test_platform_suspects.py
+++ b/tests/test_platform_suspects.py
@@ -119,7 +119,7 @@
 
 @pytest.mark.parametrize("order", [1, -1])
 def test_suspects_merge_in_any_order(order):
-    """Guards against nodes that know different suspects for good."""
+    """Guards against nodes that permanently know different suspects."""
     tables = [suspects_lib.SuspectTable() for _ in range(3)]
     for number, table in enumerate(tables):
         record_crash(table, number)
