Keep the ports of test servers bound until the servers bind them

Traced in its captured output: gRPC could not bind 127.0.0.1:53927 ("Address already in use"), the thread that started n03 ended with a RuntimeError, so the node never ran.

Cause: find_free_port bound a port, closed it and returned the number. Until the server bound it, the kernel could give the same port (from the ephemeral range) to any outgoing connection; a fleet opens many.

Ruled out: a fault of membership (n03 did not run at all), so_reuseport (it is 0, and would share the port rather than fail).

A port is now kept bound with SO_REUSEADDR, without listening: a server with SO_REUSEADDR can bind it, nothing else can.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,11 +1,11 @@
 """In-process fleet of nodes on loopback ports with an in-memory store."""
 
 import itertools
-import socket
 import threading
 import time
 
 import links
+import ports
 
 from lycheestair import acceptance
 from lycheestair import configuration
@@ -23,12 +23,6 @@
 NOTE_TEMPLATE = '[[service]]\nname = "{service}"\nversions = ["v1"]\n'
 
 
-def find_free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def wait_until(condition, message="condition", timeout_s=WAIT_S):
     deadline = time.monotonic() + timeout_s
     while not condition():
@@ -132,7 +126,7 @@
     """Membership and distribution of one node."""
 
     def __init__(self, node_id, domain, seeds, store, port=None, **changes):
-        port = port or find_free_port()
+        port = port or ports.reserve_port()
         self.address = f"127.0.0.1:{port}"
         self.settings = settings_lib.Settings(
             node=settings_lib.Identity(
@@ -228,8 +222,8 @@
     def __init__(self, count, **changes):
         self.store = MemoryStore()
         self.changes = changes
-        ports = [find_free_port() for _ in range(count)]
-        self.seeds = [f"127.0.0.1:{port}" for port in ports[:3]]
+        node_ports = [ports.reserve_port() for _ in range(count)]
+        self.seeds = [f"127.0.0.1:{port}" for port in node_ports[:3]]
         self.nodes = [
             Node(
                 f"n{i:02}",
@@ -239,7 +233,7 @@
                 port,
                 **changes,
             )
-            for i, port in enumerate(ports)
+            for i, port in enumerate(node_ports)
         ]
 
     def start(self):
--- a/tests/operator_support.py
+++ b/tests/operator_support.py
@@ -2,7 +2,8 @@
 
 import contextlib
 import itertools
-import socket
+
+import ports
 
 from lycheestair import acceptance
 from lycheestair import configuration
@@ -99,19 +100,6 @@
         return self.entries.pop(fingerprint, None) is not None
 
 
-def find_free_ports(count):
-    # All sockets are open at the same time, so that the ports differ.
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-
-
-def find_free_port():
-    return find_free_ports(1)[0]
-
-
 def make_settings_document(**tables):
     return {
         "node": {"id": "n1", "region": "east", "failure_domain": "east-1"},
@@ -119,7 +107,7 @@
             name: f"127.0.0.1:{port}"
             for name, port in zip(
                 ("caller", "peer", "control", "local"),
-                find_free_ports(4),
+                [ports.reserve_port() for _ in range(4)],
                 strict=True,
             )
         },
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,6 +6,7 @@
 import sys
 
 import operator_support
+import ports
 import pytest
 
 from lycheestair import actions
@@ -26,7 +27,7 @@
 [topology]
 east-1 = "east"
 """
-UNUSED_ADDRESS = f"127.0.0.1:{operator_support.find_free_port()}"
+UNUSED_ADDRESS = f"127.0.0.1:{ports.reserve_port()}"
 
 
 def run(capsys, *arguments):
--- a/tests/test_fleet_features.py
+++ b/tests/test_fleet_features.py
@@ -9,6 +9,7 @@
 
 import fleet as fleet_lib
 import links
+import ports
 import pytest
 from pytest_bdd import given
 from pytest_bdd import parsers
@@ -114,7 +115,7 @@
 def start_isolated_node(world):
     store = fleet_lib.MemoryStore()
     store.down = True
-    seed = f"127.0.0.1:{fleet_lib.find_free_port()}"
+    seed = f"127.0.0.1:{ports.reserve_port()}"
     world.fleet = fleet_lib.Fleet(0)
     world.fleet.nodes = [
         fleet_lib.Node("n", "malta-a", [seed], store, boot_timeout_ms=300)
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -1,10 +1,10 @@
 """Tests of evidence and caps between nodes over gRPC, without a store."""
 
 import contextlib
-import socket
 import time
 
 import moves_support as support
+import ports
 import pytest
 
 from lycheestair import aggregation
@@ -84,16 +84,6 @@
         self.channels.close()
 
 
-def find_free_addresses(count):
-    """Returns loopback addresses with free ports."""
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-            for _ in range(count)
-        ]
-        return [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
-
-
 @pytest.fixture
 def make_nodes():
     with contextlib.ExitStack() as stack:
@@ -101,15 +91,12 @@
         def make(*placements, full_membership=True, **moves):
             members = [
                 support.make_member(
-                    f"n{index}", domain, f"v{index % 2 + 1}", control=address
-                )
-                for index, (domain, address) in enumerate(
-                    zip(
-                        placements,
-                        find_free_addresses(len(placements)),
-                        strict=True,
-                    )
+                    f"n{index}",
+                    domain,
+                    f"v{index % 2 + 1}",
+                    control=f"127.0.0.1:{ports.reserve_port()}",
                 )
+                for index, domain in enumerate(placements)
             ]
             nodes = [Node(member, **moves) for member in members]
             for node in nodes:
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -8,6 +8,7 @@
 from google.protobuf import empty_pb2
 import grpc
 import operator_support
+import ports
 import pytest
 
 from lycheestair import control
@@ -145,7 +146,7 @@
 def send_request(server_files, client_files):
     """Returns what a peer listener sends to a client, empty if refused."""
     server = http_server.Server(
-        f"127.0.0.1:{operator_support.find_free_port()}",
+        f"127.0.0.1:{ports.reserve_port()}",
         lambda request: messages.Response(200, [], b""),
         settings_lib.RequestSettings(),
         4,
--- a/tests/test_two_nodes.py
+++ b/tests/test_two_nodes.py
@@ -8,7 +8,7 @@
 import sys
 import threading
 
-import operator_support
+import ports
 import pytest
 
 from lycheestair import cli
@@ -39,14 +39,14 @@
             str(key_directory), ("node",), ("alice",), 1
         )
         self.credentials = str(key_directory / "alice")
-        self.store = f"127.0.0.1:{operator_support.find_free_port()}"
-        self.backend = f"127.0.0.2:{operator_support.find_free_port()}"
+        self.store = f"127.0.0.1:{ports.reserve_port()}"
+        self.backend = f"127.0.0.2:{ports.reserve_port()}"
         example_addresses = [
             f"127.0.0.{n}:740{p}" for n in (1, 2) for p in (1, 2, 3, 4)
         ]
         self.addresses = {
             example_address: f"{example_address.partition(':')[0]}"
-            f":{operator_support.find_free_port()}"
+            f":{ports.reserve_port()}"
             for example_address in example_addresses
         }
         tls = (
