Load replaced TLS files again after a load that failed meanwhile

A node could keep an old certificate until its files changed once more: the state of the files that counted as unusable was read after the failed load. If the last file was replaced during the load, the complete set counted as unusable. The state is now read before the load.

The new test fails on the earlier code.

--- a/src/lycheestair/tls.py
+++ b/src/lycheestair/tls.py
@@ -92,16 +92,16 @@
             return self._material
 
     def _reload(self) -> None:
+        # Read before the files: if one is replaced while they are loaded, the
+        # next check finds them changed.
+        file_stats = _stat_files_or_none(self._settings)
+        if file_stats is not None and file_stats in (
+            self._material.file_stats,
+            self._unusable_file_stats,
+        ):
+            return
         try:
-            file_stats = _stat_files(self._settings)
-            if file_stats in (
-                self._material.file_stats,
-                self._unusable_file_stats,
-            ):
-                return
             self._material = _load_material(self._settings)
-            self._unusable_file_stats = None
-            logging.info("reloaded the TLS certificates and key")
         except TlsError as error:
             if self._unusable_file_stats is None:
                 logging.warning(
@@ -111,7 +111,10 @@
                 )
             # Files that can be read but not used together are not loaded again
             # until one of them changes.
-            self._unusable_file_stats = _stat_files_or_none(self._settings)
+            self._unusable_file_stats = file_stats
+            return
+        self._unusable_file_stats = None
+        logging.info("reloaded the TLS certificates and key")
 
 
 def open_certificate_files(
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -223,6 +223,35 @@
     pytest.fail("condition was not met in time")
 
 
+def test_files_replaced_during_a_failed_load_are_loaded_next_time(
+    key_directory, tmp_path, monkeypatch
+):
+    copy_keys(key_directory / "own", tmp_path)
+    now = [0.0]
+    files = tls.CertificateFiles(
+        make_tls_settings(tmp_path, "node"), lambda: now[0]
+    )
+    first = files.read()
+    shutil.copyfile(
+        key_directory / "foreign" / "node.pem", tmp_path / "node.pem"
+    )
+    load = tls._load_material
+
+    def load_while_files_are_replaced(settings):
+        try:
+            return load(settings)
+        finally:
+            copy_keys(key_directory / "foreign", tmp_path)
+
+    monkeypatch.setattr(tls, "_load_material", load_while_files_are_replaced)
+    now[0] += tls.RELOAD_CHECK_PERIOD_S
+    assert files.read() is first
+
+    monkeypatch.undo()
+    now[0] += tls.RELOAD_CHECK_PERIOD_S
+    assert files.read() is not first
+
+
 def test_files_that_do_not_match_are_not_loaded(
     key_directory, tmp_path, caplog
 ):
