Start a new trace for a traceparent with an id of zeros

The W3C recommendation calls such a header invalid. A trace id of zeros was passed on, and a parent id of zeros became the parent of a span: both gave traces that no tool can join. The new test fails on the earlier code.

--- a/src/lycheestair/telemetry.py
+++ b/src/lycheestair/telemetry.py
@@ -43,7 +43,8 @@
 MAX_QUEUED_SPANS: Final = 2_048
 
 _TRACEPARENT_PATTERN: Final = re.compile(
-    r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})"
+    # Ids of zeros only are invalid.
+    r"00-(?!0{32})([0-9a-f]{32})-(?!0{16})([0-9a-f]{16})-([0-9a-f]{2})"
 )
 # The W3C Trace Context level 2 recommendation makes the rightmost 56 bits of a
 # trace id random; the sampling decision depends on them.
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -153,6 +153,22 @@
         assert span.traceparent[:36] == f"{TRACEPARENT_PREFIX[:35]}-"
 
 
+@pytest.mark.parametrize(
+    "header",
+    [f"00-{'0' * 32}-{'b' * 16}-01", f"00-{'a' * 32}-{'0' * 16}-01"],
+)
+@pytest.mark.parametrize("percent", [0, 100])
+def test_all_zero_ids_start_a_new_trace(header, percent):
+    _, tracing, exporter = make_telemetry(percent)
+    span = tracing.start_span("request", header, from_peer=True)
+    span.end()
+    tracing.shutdown()
+    _, trace_id, span_id, _ = span.traceparent.split("-")
+    assert int(trace_id, 16) not in (0, int("a" * 32, 16))
+    assert int(span_id, 16)
+    assert len(exporter.get_finished_spans()) == bool(percent)
+
+
 def test_spans_are_logged_without_secrets(lines):
     settings = operator_support.make_settings(
         telemetry={"trace_sample_percent": 100}
