Hand over the exact time limit of a request

Binary fractions made 1.001 s arrive as 1,000 ms at a joining voter, which could call a running request overdue a millisecond early. The new test fails for 1,001 ms on the earlier code.

--- a/src/lycheestair/hand_over.py
+++ b/src/lycheestair/hand_over.py
@@ -45,7 +45,7 @@
                     fingerprint=record.fingerprint,
                     state=record.state,
                     age_ms=max(0, int((now - record.granted_at) * 1000)),
-                    run_ms=int(record.request_timeout_s * 1000),
+                    run_ms=round(record.request_timeout_s * 1000),
                 )
                 for key, record in batch
             ]
