Survive a malformed lease in the store

A lease object without a holder or with a duration that is no number ended the thread that maintains the lease with a KeyError, TypeError or ValueError: the node then never held the lease again, and a duration of infinity or NaN kept every node from it for ever. A malformed lease now counts as held by an unknown node for the reader's own lease duration after it was first seen.

--- a/src/lycheestair/leases.py
+++ b/src/lycheestair/leases.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 import threading
 import time
+from typing import Any
 from typing import Final
 
 from absl import logging
@@ -109,7 +111,7 @@
             return
         self._held_until = 0.0
         stored = self._store.get(LEASE_KIND, self._name)
-        if stored is not None and stored.value["holder"] == self._node_id:
+        if stored is not None and _read_holder(stored.value) == self._node_id:
             self._store.put(
                 LEASE_KIND,
                 self._name,
@@ -118,7 +120,7 @@
             )
 
     def _can_acquire(self, stored: store_lib.StoredObject) -> bool:
-        if stored.value["holder"] in (self._node_id, ""):
+        if _read_holder(stored.value) in (self._node_id, ""):
             return True
         now = self._clock()
         if (
@@ -127,11 +129,40 @@
         ):
             self._observation = _Observation(stored.version, now)
             return False
-        return now - self._observation.first_seen_at > float(
-            stored.value["lease_s"]
+        return now - self._observation.first_seen_at > _read_duration_s(
+            stored.value, self._lease_s
         )
 
 
+def _read_holder(value: Any) -> ids.NodeId | None:
+    """Returns the holder of a stored lease, empty if it was released.
+
+    Returns:
+      None if the lease is malformed. An unknown node may then hold it.
+    """
+    holder = value.get("holder") if isinstance(value, dict) else None
+    return ids.NodeId(holder) if isinstance(holder, str) else None
+
+
+def _read_duration_s(value: Any, default_s: float) -> float:
+    """Returns the duration of a stored lease in seconds.
+
+    A malformed lease gets a default duration: it must not expire at once, and
+    it must not be held forever.
+    """
+    if _read_holder(value) is None:
+        return default_s
+    duration_s = value.get("lease_s")
+    if (
+        isinstance(duration_s, bool)
+        or not isinstance(duration_s, int | float)
+        or not math.isfinite(duration_s)
+        or duration_s < 0
+    ):
+        return default_s
+    return duration_s
+
+
 def maintain_lease(
     lease: Lease,
     lease_s: float,
