Take a response with a non-UTF-8 request id for that of another request

The product's node decoded the echoed id: a UnicodeDecodeError gave the caller 500 internal, and the connection was kept, although what it carried was not the response to this request. The ids are compared as bytes now; the caller gets answer_incomplete and the connection is closed. The new example of the feature fails on the earlier code (500).

--- a/src/lycheestair/forwarding.py
+++ b/src/lycheestair/forwarding.py
@@ -127,7 +127,7 @@
             conn.reader.deadline = call.deadline
             response, reusable = _read_response(conn.reader, request.method)
             echoed_id = response.find_header(calls.REQUEST_ID_HEADER)
-            if echoed_id is not None and echoed_id.decode() != call.request_id:
+            if echoed_id not in (None, call.request_id.encode()):
                 reusable = False
                 return errors.Failure(
                     errors.ErrorKind.ANSWER_INCOMPLETE,
--- a/tests/features/requests.feature
+++ b/tests/features/requests.feature
@@ -19,6 +19,7 @@
       | sends no content length     | write   | 502    | answer_incomplete | unknown   | 1    |
       | sends two content lengths   | write   | 502    | answer_incomplete | unknown   | 1    |
       | responds to another request | write   | 502    | answer_incomplete | unknown   | 1    |
+      | echoes a non-UTF-8 id       | write   | 502    | answer_incomplete | unknown   | 1    |
       | never responds              | write   | 504    | timeout           | unknown   | 1    |
       | responds twice              | write   | 200    | none              | none      | 1    |
       | sends an error header       | write   | 200    | none              | none      | 1    |
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -19,6 +19,7 @@
 MAX_DEPTH = 4
 NOT_RUN = b"x-lycheestair-execution: not-run\r\n"
 OTHER_REQUEST_ID = b"x-lycheestair-request-id: of-another\r\n"
+NON_UTF_8_REQUEST_ID = b"x-lycheestair-request-id: \xff\xfe\r\n"
 
 
 class World:
@@ -95,6 +96,9 @@
             "responds to another request": lambda r: support.make_response(
                 r, 200, OTHER_REQUEST_ID
             ),
+            "echoes a non-UTF-8 id": lambda r: support.make_response(
+                r, 200, NON_UTF_8_REQUEST_ID
+            ),
             "never responds": self.never_answer,
             "responds twice": lambda r: support.make_response(r) * 2,
             # Only the execution header marks a response as a refusal.
