--- a/tests/soak.py
+++ b/tests/soak.py
@@ -68,8 +68,6 @@
 MAX_RSS_MB = 80.0
 MAX_DESCRIPTORS = 300
 CLIENTS_PER_NODE = 3
-# Fraction of the responses that a backend server with a fault corrupts.
-CORRUPTED_SHARE = 0.5
 
 
 @dataclasses.dataclass
