Refuse a move of a whole service while one of its routes is being moved

The reverse order was refused already, and so were both orders within one note. With both moves running the same requests were moved by two moves: the route's traffic followed either one's shares. Both checks use one function now.

One of the ten new cases fails on the earlier code: route first, then the whole service.

--- a/src/lycheestair/compiler.py
+++ b/src/lycheestair/compiler.py
@@ -67,10 +67,8 @@
         if len(set(headers)) < len(headers):
             yield f"route.{entry.name}.headers: header name is listed twice"
     for first, second in itertools.combinations(note.move, 2):
-        if first.service == second.service and (
-            first.route == second.route
-            or first.route is None
-            or second.route is None
+        if first.service == second.service and _move_same_traffic(
+            first.route, second.route
         ):
             yield (
                 f"move.{second.id}: move '{first.id}' of the same note moves"
@@ -165,6 +163,14 @@
             )
 
 
+def _move_same_traffic(first: str | None, second: str | None) -> bool:
+    """Whether moves of one service, limited to these routes, overlap.
+
+    A move without a route moves all traffic of its service.
+    """
+    return not first or not second or first == second
+
+
 def _check_moves(
     note: note_lib.Note, old: snapshot_lib.Snapshot, now: float
 ) -> Iterator[str]:
@@ -185,7 +191,7 @@
                 other.service == entry.service
                 and other.state in resources.RUNNING_MOVE_STATES
                 and other.id not in note.withdraw.moves
-                and (not other.route or other.route == (entry.route or ""))
+                and _move_same_traffic(other.route, entry.route)
             ):
                 yield (
                     f"move.{entry.id}: move '{other.id}' of the same service"
--- a/tests/test_bad_notes.py
+++ b/tests/test_bad_notes.py
@@ -180,6 +180,42 @@
     assert store.objects == before
 
 
+ROUTE_OF_MOVE = 'route = "{}"\n'
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "overlap"),
+    [
+        ("", "", True),
+        ("", ROUTE_OF_MOVE.format("r"), True),
+        (ROUTE_OF_MOVE.format("r"), "", True),
+        (ROUTE_OF_MOVE.format("r"), ROUTE_OF_MOVE.format("r"), True),
+        (ROUTE_OF_MOVE.format("r"), ROUTE_OF_MOVE.format("s"), False),
+    ],
+)
+@pytest.mark.parametrize("in_one_note", [True, False])
+def test_moves_of_the_same_traffic_are_rejected_in_either_order(
+    store, first, second, overlap, in_one_note
+):
+    base = (
+        'id = "routes"\n[[service]]\nname = "burin"\nversions = ["v1", "v2"]\n'
+        + ROUTE_ENTRY
+        + ROUTE_ENTRY.replace('"r"', '"s"').replace('"/r"', '"/s"')
+    )
+    assert isinstance(apply(store, base), acceptance.Accepted)
+    moves = [
+        MOVE_ENTRY.format(name, "v2", FUTURE_DEADLINE) + route
+        for name, route in (("m", first), ("n", second))
+    ]
+    if not in_one_note:
+        outcome = apply(store, 'id = "first"\n' + moves.pop(0))
+        assert isinstance(outcome, acceptance.Accepted)
+
+    outcome = apply(store, 'id = "last"\n' + "".join(moves))
+
+    assert isinstance(outcome, acceptance.Rejected) is overlap
+
+
 def test_text_that_is_not_unicode_is_rejected(store):
     assert isinstance(apply(store, 'id = "\ud800"'), acceptance.Rejected)
 
