Keep the outcome of a call until its entry node can't ask for it again

What callers would see: an order whose connection between two nodes was lost for more than 5 s ran twice, or, if its server had left meanwhile, the client was told "not run, try again" of an order that had run.

Cause: an entry node sends a non-idempotent call again when the connection is back, until the call's deadline; the serving node forgot the outcome after 5 s and took the call for a new one.

The outcome of a non-idempotent call is now kept until 1 s after the call's deadline, at least 5 s as before. Idempotent calls fail when a connection is lost and are not sent again on it. A call whose deadline has passed is not sent again either: the serving node would truly refuse it as not executed the second time, though the first may have run.

Ruled out: a longer constant; the time limits of routes are the operator's.

--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -346,7 +346,10 @@
         self._set_reachable(True)
         self._attempt_finished.set()
         for number, pending in list(self._pending.items()):
-            self._send_call(number, pending.call)
+            # The other node forgets calls whose deadline has passed, and would
+            # answer that such a call was not executed.
+            if pending.call.remaining_s > 0:
+                self._send_call(number, pending.call)
         while True:
             frame = await frames.read(stream)
             self._received_at = self.member.last_frame_at = clock.read_s()
--- a/src/lycheestair/sidecar/peer_server.py
+++ b/src/lycheestair/sidecar/peer_server.py
@@ -1,9 +1,9 @@
 """Incoming connections from other nodes and the calls received on them."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 import dataclasses
+import heapq
 from typing import Final
 
 from lycheestair import errors
@@ -27,6 +27,10 @@
 ORPHAN_TIMEOUT_S: Final = 0.5
 # Outcomes are retained for calls that are sent again after a lost connection.
 OUTCOME_RETENTION_S: Final = 5.0
+# An entry node sends a non-idempotent call again until its deadline, which the
+# transfer of the call has delayed at this node. The outcome is retained for this
+# long after the deadline, so that the call is not executed again.
+DEADLINE_MARGIN_S: Final = 1.0
 
 # Entry node, its incarnation and the number that it gave to the call.
 _CallKey = tuple[ids.NodeId, int, int]
@@ -77,9 +81,8 @@
         self._on_frame = on_frame
         self._log = log
         self._calls: dict[_CallKey, _ReceivedCall] = {}
-        self._finished_calls: collections.deque[tuple[float, _CallKey]] = (
-            collections.deque()
-        )
+        # Finished calls by the time at which their outcome expires, a heap.
+        self._expiry: list[tuple[float, _CallKey]] = []
         self._streams: set[streams.Stream] = set()
 
     @property
@@ -189,8 +192,12 @@
         else:
             outcome = task.result()
         running.outcome = outcome
-        self._finished_calls.append((clock.read_s(), key))
-        self._expire_outcomes()
+        now = clock.read_s()
+        expires_at = now + OUTCOME_RETENTION_S
+        if not call.idempotent:
+            expires_at = max(expires_at, call.deadline + DEADLINE_MARGIN_S)
+        heapq.heappush(self._expiry, (expires_at, key))
+        self._expire_outcomes(now)
         # A call that is sent back because of a long queue is not refused; the
         # entry node logs which nodes it has tried.
         if (
@@ -252,9 +259,6 @@
             if running is not None and running.stream is stream:
                 self._cancel(key)
 
-    def _expire_outcomes(self) -> None:
-        expired_before = clock.read_s() - OUTCOME_RETENTION_S
-        while (
-            self._finished_calls and self._finished_calls[0][0] < expired_before
-        ):
-            self._calls.pop(self._finished_calls.popleft()[1], None)
+    def _expire_outcomes(self, now: float) -> None:
+        while self._expiry and self._expiry[0][0] < now:
+            self._calls.pop(heapq.heappop(self._expiry)[1], None)
