Deliver an answer that arrived while its entry node was suspended

A node that was suspended past the time limit of a route found the expired timer and the answer in its sockets at the same time, and told the client 504 "may have run" although the answer was there and the client still waited. The timer won, because it cancels the task that has yet to read the answer.

deadlines.limit gives the code 0.1 s to read what has arrived if the deadline is noticed more than 0.1 s late, at most once. It is used for the exchange with the backend server, the call over a link and the local run of a request.

Ruled out: asyncio.wait instead of a timeout, which reads an answer of one step of the event loop only.

tests/test_platform_silence.py, an entry node stopped for 3 s with a route limit of 1.5 s and a client that waits 8 s, answer from its own server and from another node: 504 on the earlier code, 200 now.

--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -16,6 +16,7 @@
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import catalog as catalog_lib
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import deadlines
 from lycheestair.sidecar import error_responses
 from lycheestair.sidecar import event_log
 from lycheestair.sidecar import gossip as gossip_lib
@@ -395,7 +396,7 @@
         if member is self._table.own:
             member.in_flight += 1
             try:
-                async with asyncio.timeout(max(0.0, call.remaining_s)):
+                async with deadlines.limit(call.deadline):
                     outcome = await self._serving_node.run(call)
             except TimeoutError:
                 outcome = calls.Refusal(errors.ErrorKind.TIMEOUT, reached=True)
--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -13,6 +13,7 @@
 from lycheestair import messages
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import deadlines
 from lycheestair.sidecar import event_log
 from lycheestair.sidecar import frames
 from lycheestair.sidecar import http1
@@ -191,7 +192,7 @@
         self._pending[number] = pending
         self.member.in_flight += 1
         try:
-            async with asyncio.timeout(max(0.0, call.remaining_s)):
+            async with deadlines.limit(call.deadline):
                 return await pending.outcome
         except TimeoutError:
             self.send([frames.FrameType.CANCEL, number])
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -18,6 +18,7 @@
 from lycheestair.sidecar import byte_budget
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import deadlines
 from lycheestair.sidecar import departures as departures_lib
 from lycheestair.sidecar import dependencies
 from lycheestair.sidecar import event_log
@@ -467,7 +468,7 @@
             self.sent_requests += 1
             self.sent_retries += call.is_retry
             with self._answer_memory.open_account() as account:
-                async with asyncio.timeout(call.remaining_s):
+                async with deadlines.limit(call.deadline):
                     response = await self._read_response(
                         connection.stream, call, account
                     )
--- a/tests/test_platform_silence.py
+++ b/tests/test_platform_silence.py
@@ -170,6 +170,31 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("at_other_node", [False, True])
+def test_answer_that_arrived_while_its_entry_node_was_silent_is_delivered(
+    at_other_node, tmp_path
+):
+    """The time limit of the route ends during the silence."""
+
+    async def scenario():
+        async with run(tmp_path, route_timeout_s=1.5) as (other, silent):
+            backend_server = (other if at_other_node else silent).backend_server
+            path = "/order/1" if at_other_node else "/press/1"
+            backend_server.work_s = 0.5
+            await platform_world.wait_for(
+                lambda: is_served(silent, path), timeout_s=4.0
+            )
+            task = asyncio.create_task(send_order(silent, 8.0, path))
+            await platform_world.wait_for(lambda: backend_server.running)
+            async with silent.silence():
+                await asyncio.sleep(3.0)
+            response = await task
+
+            assert response.status == 200
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("has_heartbeats", [True, False])
 def test_order_is_not_run_again_after_a_long_loss_of_its_connection(
     has_heartbeats, monkeypatch
@@ -223,3 +248,7 @@
         received.request.find_header(b"x-request-id") == request_id
         for received in instance.backend_server.received_requests
     )
+
+
+async def is_served(instance, path):
+    return (await send_order(instance, 4.0, path)).status == 200
