--- a/tests/request_support.py
+++ b/tests/request_support.py
@@ -151,7 +151,11 @@
 
 @dataclasses.dataclass
 class ScriptedServer:
-    """Backend server that sends what its script returns, or closes on None."""
+    """Backend server that sends what its script returns, or closes on None.
+
+    A script may also return an iterable of bytes, which are sent one after the
+    other.
+    """
 
     host: str
     script: Callable
@@ -193,7 +197,8 @@
                 data = self.script(request)
                 if data is None:
                     return
-                connection.sendall(data)
+                for piece in [data] if isinstance(data, bytes) else data:
+                    connection.sendall(piece)
         except (OSError, messages.IncompleteMessageError):
             return
         finally:
