Bound the cache of encoded deltas also at nodes that forward none

Each pushed change stayed in the cache of a node: only encode_since, which nodes without branches never call, removed old entries.

--- a/src/lycheestair/replica.py
+++ b/src/lycheestair/replica.py
@@ -90,10 +90,13 @@
 
     def cache_encoded(self, delta: snapshot_lib.Delta, data: bytes) -> None:
         """Caches a received delta to forward it without re-encoding."""
+        self._cache(delta.from_generation, delta.to_generation, data)
+
+    def _cache(self, base: int, generation: int, data: bytes) -> None:
         with self._lock:
-            self._encoded_deltas[delta.from_generation, delta.to_generation] = (
-                data
-            )
+            self._encoded_deltas[base, generation] = data
+            while len(self._encoded_deltas) > MAX_CACHED_DELTAS:
+                self._encoded_deltas.popitem(last=False)
 
     def apply(self, delta: snapshot_lib.Delta) -> Outcome:
         """Applies a delta if its base generation is available."""
@@ -145,10 +148,7 @@
             return cached
         delta = snapshot_lib.compute_delta(base, current)
         data = zlib.compress(snapshot_lib.encode_delta(delta))
-        with self._lock:
-            self._encoded_deltas[key] = data
-            while len(self._encoded_deltas) > MAX_CACHED_DELTAS:
-                self._encoded_deltas.popitem(last=False)
+        self._cache(*key, data)
         return data
 
     def _find_snapshot(self, generation: int) -> snapshot_lib.Snapshot | None:
