Show that the answer of a running order is dropped after a loss of 0.5 s

The request, which may run once only, goes on, but its answer reaches nobody and the client is told 504.

--- a/tests/test_platform_silence.py
+++ b/tests/test_platform_silence.py
@@ -16,6 +16,7 @@
 import platform_world
 import pytest
 
+from lycheestair.sidecar import peer_server
 from lycheestair.sidecar import streams
 
 SOURCE = pathlib.Path(__file__).parent.parent / "src"
@@ -195,6 +196,49 @@
     run_scenario(scenario)
 
 
+def lose_connection(link, loss_s, monkeypatch):
+    """Ends the connection of a link, which can't be opened anew for a time."""
+    connect = streams.connect
+    restored_at = time.monotonic() + loss_s
+
+    async def connect_once_restored(address, timeout_s):
+        if (
+            address == link.member.record.address
+            and time.monotonic() < restored_at
+        ):
+            raise TimeoutError
+        return await connect(address, timeout_s)
+
+    monkeypatch.setattr(streams, "connect", connect_once_restored)
+    link._stream.abort()
+
+
+def test_running_order_is_answered_after_a_loss_of_its_connection(monkeypatch):
+    """The connection is lost for longer than an orphaned call is kept."""
+
+    async def scenario():
+        nodes = ("n1", "desk"), ("n2", "desk"), ("n3", "press")
+        async with platform_world.run(
+            *nodes, config=make_config(ROUTE_TIMEOUT_S)
+        ) as world:
+            entry, _, serving = world.instances
+            serving.backend_server.work_s = 3.0
+            task = asyncio.create_task(send_order(entry, 8.0))
+            await platform_world.wait_for(
+                lambda: serving.backend_server.running
+            )
+            lose_connection(
+                entry.node._gossip.find_link("n3"),
+                peer_server.ORPHAN_TIMEOUT_S + 0.5,
+                monkeypatch,
+            )
+
+            assert (await task).status == 200
+            assert len(serving.backend_server.received_requests) == 1
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("has_heartbeats", [True, False])
 def test_order_is_not_run_again_after_a_long_loss_of_its_connection(
     has_heartbeats, monkeypatch
@@ -208,24 +252,13 @@
         ) as world:
             entry, other, serving = world.instances
             serving.backend_server.work_s = 0.3
-            link = entry.node._gossip.find_link("n3")
-            connect = streams.connect
-
-            async def connect_once_restored(address, timeout_s):
-                if (
-                    address == link.member.record.address
-                    and time.monotonic() < restored_at
-                ):
-                    raise TimeoutError
-                return await connect(address, timeout_s)
-
-            restored_at = time.monotonic() + 7.0
-            monkeypatch.setattr(streams, "connect", connect_once_restored)
             task = asyncio.create_task(send_order(entry, 12.0))
             await platform_world.wait_for(
                 lambda: serving.backend_server.running
             )
-            link._stream.abort()
+            lose_connection(
+                entry.node._gossip.find_link("n3"), 7.0, monkeypatch
+            )
             while not task.done():
                 # Outcomes expire when another call ends.
                 await send_order(other, 2.0)
