Print the results of all benchmarks

lycheestair measure requests, moves and keys wrote their results to a file only; convergence and faults printed them themselves. The command prints them now. The changed test of the command fails on the earlier code.

--- a/src/lycheestair/actions.py
+++ b/src/lycheestair/actions.py
@@ -10,6 +10,7 @@
 
 from google.protobuf import json_format
 from google.protobuf import message
+import orjson
 
 from lycheestair import ids
 from lycheestair import key_tool
@@ -217,12 +218,10 @@
 
 
 def run_benchmark(name: str, options: Mapping[str, Any]) -> int:
-    """Runs a benchmark and returns its exit code."""
+    """Runs a benchmark and prints its results; returns the exit code."""
     module = import_module(f"measure_{name}")
     try:
-        result = module.run(**options)
-        # Some benchmarks return their results instead of an exit code.
-        return result if isinstance(result, int) else 0
+        results = module.run(**options)
     except TypeError as error:
         # Only a TypeError from the call itself means that an option is wrong;
         # one raised inside the benchmark is a defect.
@@ -231,6 +230,9 @@
         raise CommandError(
             ExitCode.USAGE_ERROR, f"measure {name}: {error}"
         ) from None
+    json_options = orjson.OPT_INDENT_2 | orjson.OPT_NON_STR_KEYS
+    print(orjson.dumps(results, option=json_options).decode())
+    return ExitCode.OK
 
 
 def run_experiment(file: str, seed: int, out: str, plot: str) -> int:
--- a/src/lycheestair/measure_convergence.py
+++ b/src/lycheestair/measure_convergence.py
@@ -233,7 +233,7 @@
         applied.
 
     Returns:
-      The printed results.
+      The results.
     """
     result: dict[str, Any] = {
         "nodes": nodes,
@@ -255,9 +255,9 @@
         ["convergence", str(nodes), *filter(None, [fault, baseline])]
         + ["churn"] * churn
     )
-    data = orjson.dumps(result, option=orjson.OPT_INDENT_2)
-    (target / f"{name}.json").write_bytes(data)
-    print(data.decode())
+    (target / f"{name}.json").write_bytes(
+        orjson.dumps(result, option=orjson.OPT_INDENT_2)
+    )
     return result
 
 
--- a/src/lycheestair/measure_faults.py
+++ b/src/lycheestair/measure_faults.py
@@ -72,9 +72,9 @@
             if result.status is cell_runner.Status.NOT_REACHED
         ],
     }
-    document = orjson.dumps(summary, option=orjson.OPT_INDENT_2)
-    print(document.decode())
-    (directory / "faults.json").write_bytes(document)
+    (directory / "faults.json").write_bytes(
+        orjson.dumps(summary, option=orjson.OPT_INDENT_2)
+    )
     (directory / "faults.md").write_text(format_table(results))
     draw_matrix(results, directory / "faults.png")
     return summary
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,5 +1,6 @@
 """Guards against wrong exit codes, tracebacks and unclear error messages."""
 
+import json
 import os
 import pathlib
 import subprocess
@@ -173,14 +174,16 @@
 
     def run(self, seed=1):
         self.seed = seed
-        return 0
+        return {"seed": seed, "p99_ms": 1.5}
 
 
 def test_measure_passes_options_and_rejects_unknown_ones(capsys, monkeypatch):
     benchmark = FakeBenchmark()
     monkeypatch.setattr(actions, "import_module", lambda name: benchmark)
-    assert run(capsys, "measure", "keys", "--seed", "7")[0] == 0
+    code, printed, _ = run(capsys, "measure", "keys", "--seed", "7")
+    assert code == 0
     assert benchmark.seed == 7
+    assert json.loads(printed) == {"seed": 7, "p99_ms": 1.5}
     code, _, err = run(capsys, "measure", "keys", "--sede", "7")
     assert (code, "sede" in err) == (2, True)
 
