Read the results of key nodes with a selector, and reserve fewer ports

Cause: tests/ports.py kept up to 512 sockets open, so the pipes of processes started later got descriptors above 1,023, which select can't handle. Ruled out: a fault of the voters (the command was never read).

The stand-in uses a selector without that limit, and 128 ports are kept: a fleet binds its ports within seconds. A test reads a result with 1,100 files open (ValueError on the earlier code), another one bounds the descriptors.

--- a/src/lycheestair_standins/key_fleet.py
+++ b/src/lycheestair_standins/key_fleet.py
@@ -5,7 +5,7 @@
 import json
 import os
 import pathlib
-import select
+import selectors
 import subprocess
 import sys
 import time
@@ -139,10 +139,12 @@
         """
         stream = self.processes[domain].stdout
         assert stream is not None
-        if not select.select([stream], [], [], RESULT_TIMEOUT_S)[0]:
-            raise TimeoutError(
-                f"node of failure domain {domain} sent no result in time"
-            )
+        with selectors.DefaultSelector() as selector:
+            selector.register(stream, selectors.EVENT_READ)
+            if not selector.select(RESULT_TIMEOUT_S):
+                raise TimeoutError(
+                    f"node of failure domain {domain} sent no result in time"
+                )
         return json.loads(stream.readline())
 
     def kill(self, domain: str) -> None:
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 # Bounds the descriptors of a test run; the oldest ports are given up first.
-MAX_RESERVED: Final = 512
+MAX_RESERVED: Final = 128
 
 _reserved: collections.deque[socket.socket] = collections.deque(
     maxlen=MAX_RESERVED
--- a/tests/test_key_processes.py
+++ b/tests/test_key_processes.py
@@ -1,5 +1,6 @@
 """Checks at-most-once execution with real processes, crashes and partitions."""
 
+import contextlib
 import signal
 
 import pytest
@@ -132,6 +133,18 @@
     assert claim(fleet, voters[0], timeout_s=10.0) == "replay"
 
 
+def test_results_are_read_beside_many_open_descriptors(fleet, tmp_path):
+    """The test process keeps more files open than select can handle."""
+    with contextlib.ExitStack() as files:
+        for _ in range(1100):
+            files.enter_context((tmp_path / "file").open("wb"))
+        domain = DOMAINS[0]
+        fleet.kill(domain)
+        fleet.start(domain)
+
+        assert fleet.call(domain, "describe")
+
+
 def test_grant_expires_while_its_claimant_is_paused(shared_fleet):
     process = shared_fleet.processes["a1"]
     assert claim(shared_fleet, "a1", key="paused", timeout_s=0.5) == "grant"
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import contextlib
+import os
 import socket
 
 import grpc
@@ -34,5 +35,14 @@
     server.stop(0).wait()
 
 
+def test_reserved_ports_take_a_bounded_number_of_descriptors():
+    for _ in range(2 * ports.MAX_RESERVED):
+        ports.reserve_port()
+    before = len(os.listdir("/proc/self/fd"))
+    for _ in range(2 * ports.MAX_RESERVED):
+        ports.reserve_port()
+    assert len(os.listdir("/proc/self/fd")) <= before
+
+
 def test_found_ports_differ():
     assert len({ports.reserve_port() for _ in range(64)}) == 64
