--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,123 +1,109 @@
-"""A request that crashes workers is sent again after many crashes."""
+"""A worker that has left gets orders after all processes were killed once."""
 
 import asyncio
 
 import standins
 
-# A crashed worker is back after this long.
-BACK_AFTER_S = 3.0
-# The same request comes again after this long, while the workers serve.
-PAUSE_S = 6.0
-POISON = "/order-desk/broken"
-ROUNDS = 3
+# The worker serves for this long after the ack of its leaving, then it exits.
+SERVES_ON_S = 5.8
+# The processes are killed at the same time, this long after the ack.
+KILL_AFTER_S = 1.0
+RESTART_DELAY_S = 0.5
+# Time on its way of the check-in that the worker sent before it left.
+CHECK_IN_DELAY_S = 5.3
 
 
-async def send_orders(world, machines, until):
+async def send_orders(world, machines, path, until):
+    """Sends an order to each ready machine about ten times a second."""
     tasks = []
     while world.record.now() < until:
-        for machine in machines:
-            tasks.append(
-                asyncio.create_task(
-                    world.request(machine, "/order-desk/1", "POST", b"die 7")
-                )
-            )
-        await asyncio.sleep(0.2)
+        tasks += [
+            asyncio.create_task(world.request(machine, path, "POST", b"die 7"))
+            for machine in machines
+            if machine.is_ready
+        ]
+        await asyncio.sleep(0.1)
     return [await task for task in tasks]
 
 
 async def run(world):
-    record = world.record
     machines = [
-        world.add(f"m{number}", zone, region, "desk")
-        for number, (zone, region) in enumerate(
-            (
-                ("messina-a", "sicilia"),
-                ("messina-a", "sicilia"),
-                ("catania-b", "sicilia"),
-                ("catania-b", "sicilia"),
-                ("reggio-a", "calabria"),
-                ("cosenza-b", "calabria"),
-            )
-        )
+        world.add("m1", "messina-a", "sicilia", "desk"),
+        world.add("m2", "messina-a", "sicilia", "desk"),
+        world.add("m3", "catania-b", "sicilia", "desk"),
+        world.add("m4", "reggio-a", "calabria", "desk"),
+        world.add("m5", "cosenza-b", "calabria", "press"),
     ]
-    world.store.put(
-        "config", "main", standins.make_config(7, ["desk"], max_attempts=2)
-    )
-    crashes = []
-    arrivals = []
-    tasks = []
-    poison = POISON if standins.TROUBLE else "/order-desk/sound"
-
-    def add_worker(machine, number):
-        worker = standins.Worker(
-            machine, f"i-{machine.name}-{number}", "desk"
-        )
-        worker.crashed = False
-        machine.worker = worker
-
-        async def work(request_id, path):
-            if path == poison:
-                arrivals.append(record.now())
-            if path != POISON:
-                await asyncio.sleep(0.2)
-                return 200
-            await asyncio.sleep(0.8)
-            if machine.worker is worker and not worker.crashed:
-                worker.crashed = True
-                crashes.append(record.now())
-                record.add(f"{worker.id} crashes")
-                asyncio.get_running_loop().call_soon(worker.stop)
-                tasks.append(
-                    asyncio.create_task(come_back(machine, number + 1))
-                )
-            return None
-
-        worker.work = work
-        return worker
-
-    async def come_back(machine, number):
-        await asyncio.sleep(BACK_AFTER_S)
-        await add_worker(machine, number).start()
-        record.add(f"{machine.worker.id} started")
-
+    record = world.record
+    world.store.put("config", "main", standins.make_config(7, ["desk", "press"]))
     for machine in machines:
-        add_worker(machine, 0)
         await world.start_machine(machine)
     await world.wait_ready(machines)
     await asyncio.sleep(5.0)
-    orders = asyncio.create_task(
-        send_orders(world, machines, record.now() + PAUSE_S * ROUNDS)
+    leaver = machines[0].worker
+
+    async def work(request_id, path):
+        await asyncio.sleep(0.8)
+        return 200
+
+    for machine in machines:
+        machine.worker.work = work
+    clients = asyncio.create_task(
+        send_orders(world, machines, "/order-desk/1", record.now() + 11.0)
     )
-    await asyncio.sleep(0.5)
-    for _ in range(ROUNDS):
-        # One client at each machine, within half a second.
-        record.add(f"the clients of all machines ask for {poison}")
-        requests = []
+    await asyncio.sleep(2.0)
+
+    # The worker leaves without `draining` before: its last check-in is still on
+    # its way, and it sends no other.
+    leaver.beats.cancel()
+    late_check_in = leaver.make_beat()
+    record.add(f"{leaver.id} sends check-in {leaver.sequence}; it arrives late")
+    sent_at = record.now()
+    await asyncio.sleep(0.2)
+    if not await leaver.send("deregister", b'{"born": %d}' % leaver.born):
+        raise standins.Unusable("no ack for deregister")
+    leaver.leaving = True
+    acked_at = record.now()
+    record.add(f"ack: {leaver.id} is gone")
+
+    if standins.TROUBLE:
+        await asyncio.sleep(KILL_AFTER_S)
+        for machine in machines:
+            machine.kill_process()
+        await asyncio.sleep(RESTART_DELAY_S)
         for machine in machines:
-            requests.append(
-                asyncio.create_task(
-                    world.request(machine, poison, "POST", b"die 9")
-                )
-            )
-            await asyncio.sleep(0.1)
-        await asyncio.gather(*requests)
-        await asyncio.sleep(PAUSE_S)
-    answers = await orders
+            machine.start_process()
+        restarted_at = record.now()
+        await world.wait_ready(machines)
+    else:
+        restarted_at = record.now()
+    await asyncio.sleep(max(0.0, sent_at + CHECK_IN_DELAY_S - record.now()))
+    acked = await leaver.send("heartbeat", late_check_in)
+    record.add(f"the late check-in of {leaver.id} arrives; ack: {acked}")
+    await asyncio.sleep(max(0.0, acked_at + SERVES_ON_S - record.now()))
+    leaver.stop()
+    record.add(f"{leaver.id} exits")
+    answers = {request_id: status for request_id, status, _ in await clients}
 
-    stability_s = standins.BOUNDS["stability_window_s"]
-    retries = (
-        [at for at in arrivals if at > crashes[2] + stability_s]
-        if len(crashes) > 2
-        else []
-    )
-    failed = sum(status != 200 for _, status, _ in answers)
+    # All machines are in touch from stability_window_s after their start.
+    drain_s = standins.BOUNDS["drain_s"]
+    in_touch_at = restarted_at + 0.1 + standins.BOUNDS["stability_window_s"]
+    sent = {
+        line.split()[2]: float(line.split()[0])
+        for line in record.lines
+        if " sent " in line
+    }
+    late = [
+        request_id
+        for at, request_id, _ in leaver.runs
+        if at > acked_at + drain_s and sent[request_id] > in_touch_at
+    ]
+    lost = [i for i in late if answers.get(i) != 200]
     record.add(
-        f"{len(crashes)} crashes; {len(retries)} arrivals later than {stability_s} s"
-        f" after the third, 3 are allowed; {failed} of {len(answers)} orders failed"
+        f"{len(late)} orders reached {leaver.id} later than {drain_s} s after the"
+        f" ack, sent by machines in touch; {len(lost)} of them had no success"
     )
-    if len(retries) > 3:
-        return f"BUDGET: {len(retries)} arrivals, {len(crashes)} crashes"
-    return ""
+    return f"DRAIN: {len(late)} orders, {len(lost)} lost" if late else ""
 
 
 standins.main(run)
