--- a/review/standins.py
+++ b/review/standins.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -708,7 +709,10 @@
 
     try:
         broken = asyncio.run(play())
-    except (Unusable, TimeoutError) as error:
+    except Exception as error:
+        # An error of the script itself says nothing about the rule.
+        if not isinstance(error, Unusable):
+            traceback.print_exc()
         print(f"could not run: {error!r}")
         sys.exit(2)
     print(f"rule broken: {broken}" if broken else "rule held")
