Do not send calls of an ended process to the next one

Cause: when HELLO shows a new incarnation, the link fails its pending calls, but each left the table of pending calls only when its waiting task ran. The loop that sends pending calls again runs before that and sent them to the new process, which knows none of them. Ruled out: a restart that isn't noticed (the client had its 502 before the second run) and an outcome that the serving node forgot (needs no restart).

Fix: a call leaves the table when its outcome is set. What is sent again therefore has no outcome.

Test: tests/test_platform_links.py, four cases, all failed before.

--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -361,7 +361,7 @@
         frame_type = frame[0]
         if frame_type in (frames.FrameType.RESPONSE, frames.FrameType.REFUSAL):
             number, load = frame[1], frame[2]
-            pending = self._pending.get(number)
+            pending = self._pending.pop(number, None)
             self.member.report_load(*load)
             if pending is not None:
                 # The report excludes the finished call, which `call` has not
@@ -393,8 +393,12 @@
         self._on_reachability_change(self.member)
 
     def _fail_pending(self, predicate: Callable[[calls.Call], bool]) -> None:
-        for pending in list(self._pending.values()):
+        """Fails pending calls; they are never sent again."""
+        for number, pending in list(self._pending.items()):
             if predicate(pending.call):
+                # Not left to the waiting task, which runs after the remaining
+                # calls have been sent again.
+                del self._pending[number]
                 pending.set_outcome(
                     calls.Refusal(
                         errors.ErrorKind.CONNECTION_LOST,
--- /dev/null
+++ b/tests/test_platform_links.py
@@ -0,0 +1,170 @@
+"""Calls over the link to a node whose process restarts."""
+
+import asyncio
+import contextlib
+import types
+
+import platform_world
+import pytest
+
+from lycheestair import errors
+from lycheestair import ids
+from lycheestair import messages
+from lycheestair.sidecar import calls
+from lycheestair.sidecar import clock
+from lycheestair.sidecar import frames
+from lycheestair.sidecar import links
+from lycheestair.sidecar import members
+from lycheestair.sidecar import streams
+
+LOAD = [0, 0, 0, 0]
+
+
+class ServingPeer:
+    """A serving node that can be replaced by another process.
+
+    Attributes:
+      incarnation: Incarnation of the process that accepts connections.
+      received: Incarnation and number of each call that was received.
+    """
+
+    def __init__(self):
+        self.incarnation = 1
+        self.received = []
+        self.address = f"{platform_world.allocate_host()}:7660"
+        self._streams = []
+        self._server = None
+
+    async def start(self):
+        self._server = await streams.listen(self.address, self._serve)
+
+    def stop(self):
+        self._server.close()
+        self.lose_connections()
+
+    def lose_connections(self):
+        for stream in self._streams:
+            stream.abort()
+        self._streams.clear()
+
+    def restart(self):
+        """Replaces the process; no connection attempt is refused meanwhile."""
+        self.incarnation += 1
+        self.lose_connections()
+
+    def make_record(self):
+        return members.NodeRecord(
+            ids.NodeId("n2"),
+            ids.Address(self.address),
+            ids.FailureDomain("a1"),
+            ids.Region("north"),
+            self.incarnation,
+        )
+
+    async def _serve(self, stream):
+        with contextlib.suppress(messages.IncompleteMessageError):
+            await self._receive(stream)
+
+    async def _receive(self, stream):
+        self._streams.append(stream)
+        incarnation = self.incarnation
+        await frames.read(stream)
+        hello = [
+            frames.FrameType.HELLO,
+            self.make_record().encode(),
+            [],
+            frames.PROTOCOL_VERSION,
+        ]
+        stream.write(frames.encode(hello))
+        while True:
+            frame = await frames.read(stream)
+            if frame[0] == frames.FrameType.REQUEST:
+                self.received.append((incarnation, frame[1]))
+
+
+def make_call(*, idempotent):
+    now = clock.read_s()
+    return calls.Call(
+        b"1",
+        b"POST",
+        b"/",
+        [],
+        b"",
+        "desk",
+        "order",
+        "i-n2",
+        idempotent,
+        1,
+        now + 3.0,
+        now + 1.0,
+    )
+
+
+def make_link(peer):
+    return links.PeerLink(
+        members.Member(peer.make_record()),
+        lambda: [[frames.FrameType.HELLO, [], [], frames.PROTOCOL_VERSION]],
+        lambda member, frame: None,
+        lambda member: None,
+        lambda member, record: None,
+        True,
+        types.SimpleNamespace(write=lambda *_, **__: None),
+    )
+
+
+def run_scenario(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+@pytest.mark.parametrize("call_count", [1, 5])
+@pytest.mark.parametrize("connections_lost_before", [0, 1])
+def test_calls_of_an_ended_process_are_not_sent_to_the_next_one(
+    call_count, connections_lost_before
+):
+    """Guards against a non-idempotent request that runs twice.
+
+    The new process knows none of the calls of the earlier one, which may have
+    run them.
+    """
+
+    async def scenario():
+        peer = ServingPeer()
+        await peer.start()
+        link = make_link(peer)
+        link.start()
+        try:
+            await platform_world.wait_for(lambda: link.connected)
+            tasks = [
+                asyncio.create_task(link.call(make_call(idempotent=False)))
+                for _ in range(call_count)
+            ]
+            expected = call_count
+            await platform_world.wait_for(lambda: len(peer.received) == expected)
+            for _ in range(connections_lost_before):
+                peer.lose_connections()
+                expected += call_count
+                await platform_world.wait_for(
+                    lambda: len(peer.received) == expected
+                )
+            peer.restart()
+            outcomes = await asyncio.gather(*tasks)
+            await platform_world.wait_for(lambda: link.connected)
+            await asyncio.sleep(0.1)
+
+            assert {incarnation for incarnation, _ in peer.received} == {1}
+            assert all(
+                outcome.kind is errors.ErrorKind.CONNECTION_LOST
+                and outcome.reached
+                for outcome in outcomes
+            )
+            # The link carries calls to the new process.
+            new = asyncio.create_task(link.call(make_call(idempotent=False)))
+            await platform_world.wait_for(
+                lambda: len(peer.received) == expected + 1
+            )
+            new.cancel()
+        finally:
+            link.stop()
+            peer.stop()
+
+    run_scenario(scenario)
