Refuse a resent call that may have been run and forgotten

Cause: a serving node keeps the outcome of an order until 1 s after its deadline. A frame that sends the order again can wait unread while the process is suspended, for longer than that. If another call ends first, the outcome has expired and the frame is taken for a new call.

Fix: calls that are sent again are marked. One that is unknown and arrives later than 1 s after the handshake is answered connection_lost. Entry nodes send them right after the handshake and before the deadline, so within that time the outcome is retained.

Test: test_call_whose_outcome_has_expired_is_not_run_again failed before; test_call_that_is_sent_again_at_once_is_run_once keeps the repair of lost calls.

--- a/src/lycheestair/sidecar/links.py
+++ b/src/lycheestair/sidecar/links.py
@@ -204,9 +204,11 @@
             self.member.in_flight -= 1
             self._pending.pop(number, None)
 
-    def _send_call(self, number: int, call: calls.Call) -> bool:
+    def _send_call(
+        self, number: int, call: calls.Call, is_resent: bool = False
+    ) -> bool:
         fields = call.encode(self._protocol_version)
-        return self.send([frames.FrameType.REQUEST, number, fields])
+        return self.send([frames.FrameType.REQUEST, number, fields, is_resent])
 
     async def _connect_on_demand(self, call: calls.Call) -> None:
         """Connects if necessary and waits for the attempt to end."""
@@ -350,7 +352,7 @@
             # The other node forgets calls whose deadline has passed, and would
             # answer that such a call was not executed.
             if pending.call.remaining_s > 0:
-                self._send_call(number, pending.call)
+                self._send_call(number, pending.call, is_resent=True)
         while True:
             frame = await frames.read(stream)
             self._received_at = self.member.last_frame_at = clock.read_s()
--- a/src/lycheestair/sidecar/peer_server.py
+++ b/src/lycheestair/sidecar/peer_server.py
@@ -32,6 +32,12 @@
 # long after the deadline, so that the call is not executed again.
 DEADLINE_MARGIN_S: Final = 1.0
 
+# An entry node sends calls again as soon as it is connected and before their
+# deadline. One that is unknown is executed only within this time of the
+# handshake, while an outcome of it would still be retained: frames may wait
+# unread while the process is suspended.
+MAX_RESEND_DELAY_S: Final = DEADLINE_MARGIN_S
+
 # Entry node, its incarnation and the number that it gave to the call.
 _CallKey = tuple[ids.NodeId, int, int]
 
@@ -112,11 +118,14 @@
                 return
             for frame in self._build_hello_frames():
                 stream.write(frames.encode(frame))
+            resend_until = clock.read_s() + MAX_RESEND_DELAY_S
             self._on_frame(member, hello)
             while True:
                 frame = await frames.read(stream)
                 member.last_frame_at = clock.read_s()
-                self._handle_frame(member, incarnation, stream, frame)
+                self._handle_frame(
+                    member, incarnation, stream, resend_until, frame
+                )
         except messages.IncompleteMessageError:
             pass  # The other node closed the connection.
         except Exception as error:
@@ -138,12 +147,22 @@
         member: members.Member,
         incarnation: int,
         stream: streams.Stream,
+        resend_until: float,
         frame: frames.Frame,
     ) -> None:
         frame_type = frame[0]
         if frame_type == frames.FrameType.REQUEST:
-            key = (member.record.node_id, incarnation, frame[1])
-            self._accept_call(key, stream, frame[2])
+            _, number, fields, *flags = frame
+            key = (member.record.node_id, incarnation, number)
+            is_resent = bool(flags and flags[0])
+            if (
+                is_resent
+                and key not in self._calls
+                and clock.read_s() > resend_until
+            ):
+                self._refuse_late_resend(key, stream)
+            else:
+                self._accept_call(key, stream, fields)
         elif frame_type == frames.FrameType.CANCEL:
             key = (member.record.node_id, incarnation, frame[1])
             self._cancel(key)
@@ -152,6 +171,23 @@
         else:
             self._on_frame(member, frame)
 
+    def _refuse_late_resend(
+        self, key: _CallKey, stream: streams.Stream
+    ) -> None:
+        """Fails a call that may have been executed and forgotten."""
+        self._log.write("late call not executed again", origin=key[0])
+        self._send_outcome(
+            _ReceivedCall(
+                stream,
+                key[2],
+                outcome=calls.Refusal(
+                    errors.ErrorKind.CONNECTION_LOST,
+                    "sent again too late to know its outcome",
+                    reached=True,
+                ),
+            )
+        )
+
     def _accept_call(
         self, key: _CallKey, stream: streams.Stream, fields: list[object]
     ) -> None:
--- a/tests/test_platform_links.py
+++ b/tests/test_platform_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 import types
 
 import platform_world
@@ -10,11 +11,14 @@
 from lycheestair import errors
 from lycheestair import ids
 from lycheestair import messages
+from lycheestair import shutdowns
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import frames
+from lycheestair.sidecar import http1
 from lycheestair.sidecar import links
 from lycheestair.sidecar import members
+from lycheestair.sidecar import peer_server
 from lycheestair.sidecar import streams
 
 LOAD = [0, 0, 0, 0]
@@ -139,7 +143,9 @@
                 for _ in range(call_count)
             ]
             expected = call_count
-            await platform_world.wait_for(lambda: len(peer.received) == expected)
+            await platform_world.wait_for(
+                lambda: len(peer.received) == expected
+            )
             for _ in range(connections_lost_before):
                 peer.lose_connections()
                 expected += call_count
@@ -168,3 +174,101 @@
             peer.stop()
 
     run_scenario(scenario)
+
+
+class ServingNodeStandin:
+    """Executes calls at once and records their request ids."""
+
+    def __init__(self):
+        self.executed = []
+        self.admission = types.SimpleNamespace(running=0, waiting=0)
+
+    async def run(self, call):
+        self.executed.append(call.request_id)
+        return http1.Response(200, [], b"done")
+
+    def read_load(self):
+        return LOAD
+
+
+def encode_request(request_id, number, is_resent):
+    call = make_call(idempotent=False)
+    call.request_id = request_id
+    fields = call.encode(frames.PROTOCOL_VERSION)
+    return frames.encode([frames.FrameType.REQUEST, number, fields, is_resent])
+
+
+async def open_entry_connection(address):
+    """Connects to a node as an entry node does."""
+    stream = await streams.connect(address, 1.0)
+    record = members.NodeRecord("n1", "127.0.0.1:1", "a1", "north", 5)
+    stream.write(
+        frames.encode([frames.FrameType.HELLO, record.encode(), [], 2])
+    )
+    assert (await frames.read(stream))[0] == frames.FrameType.HELLO
+    return stream
+
+
+async def exchange(stream, request_id, number, is_resent=False):
+    """Returns the type of the frame that answers a call."""
+    stream.write(encode_request(request_id, number, is_resent))
+    return (await frames.read(stream))[0]
+
+
+@contextlib.asynccontextmanager
+async def run_peer_server():
+    """Runs a serving node; yields it, its address and a clock to advance."""
+    now = types.SimpleNamespace(added_s=0.0)
+    server = ServingNodeStandin()
+    peers = peer_server.PeerServer(
+        server,
+        shutdowns.Shutdown(),
+        lambda: [[frames.FrameType.HELLO, [], [], frames.PROTOCOL_VERSION]],
+        members.Member,
+        lambda member, frame: None,
+        types.SimpleNamespace(write=lambda *_, **__: None),
+    )
+    address = f"{platform_world.allocate_host()}:7660"
+    with clock.replace(lambda: time.monotonic() + now.added_s):
+        listener = await streams.listen(address, peers.serve)
+        try:
+            yield server, address, now
+        finally:
+            listener.close()
+            peers.close()
+
+
+def test_call_whose_outcome_has_expired_is_not_run_again():
+    """Guards against a resent call that waits unread at a suspended node."""
+
+    async def scenario():
+        async with run_peer_server() as (server, address, now):
+            first = await open_entry_connection(address)
+            answer = await exchange(first, b"order", 7)
+            assert answer == frames.FrameType.RESPONSE
+            second = await open_entry_connection(address)
+            now.added_s += 10.0
+            # Outcomes expire when a call ends.
+            await exchange(first, b"other", 8)
+            answer = await exchange(second, b"order", 7, is_resent=True)
+            assert answer == frames.FrameType.REFUSAL
+            assert server.executed == [b"order", b"other"]
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("first_arrived", [False, True])
+def test_call_that_is_sent_again_at_once_is_run_once(first_arrived):
+    """Guards against calls that are lost with their connection."""
+
+    async def scenario():
+        async with run_peer_server() as (server, address, _):
+            if first_arrived:
+                first = await open_entry_connection(address)
+                await exchange(first, b"order", 7)
+            second = await open_entry_connection(address)
+            answer = await exchange(second, b"order", 7, is_resent=True)
+            assert answer == frames.FrameType.RESPONSE
+            assert server.executed == [b"order"]
+
+    run_scenario(scenario)
