Name suspects in refusals, and count crashes and suspects

Refusals carry the fingerprint that 'backend server crashed' lists, and gauges count crashes of the local server, suspects, and refused suspects. No decision changes.

--- a/src/lycheestair/sidecar/node.py
+++ b/src/lycheestair/sidecar/node.py
@@ -163,6 +163,11 @@
             ),
             "server_requests_sent": lambda: float(self._server.sent_requests),
             "server_retries_sent": lambda: float(self._server.sent_retries),
+            "server_crashes": lambda: float(self._server.crashes),
+            "suspects": lambda: float(len(self._server.suspects)),
+            "suspects_refused": lambda: float(
+                self._server.suspects.count_refused(clock.read_s())
+            ),
             "members_reachable": lambda: float(
                 sum(member.reachable for member in self._table)
             ),
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -78,6 +78,7 @@
       on_departure: Called when a departure has been acknowledged.
       suspects: Requests that crash backend servers.
       on_suspects_change: Called when this node has changed them.
+      crashes: Crashes of the backend server while it ran requests.
       sent_requests: Requests sent to the backend server.
       sent_retries: Retries among them.
     """
@@ -101,6 +102,7 @@
         self.on_departure: Callable[[], None] = lambda: None
         self.suspects = suspects_lib.SuspectTable()
         self.on_suspects_change: Callable[[], None] = lambda: None
+        self.crashes = 0
         self._losses = suspects_lib.LossTracker()
         self._crash_check: asyncio.Task[None] | None = None
         self.sent_requests = 0
@@ -384,12 +386,15 @@
         """Returns the refusal of a request that crashes servers, else None."""
         if not self.suspects:
             return None
-        refusal_s = self.suspects.read_refusal_s(
-            suspects_lib.compute_fingerprint(call), clock.read_s()
-        )
+        fingerprint = suspects_lib.compute_fingerprint(call)
+        refusal_s = self.suspects.read_refusal_s(fingerprint, clock.read_s())
         if not refusal_s:
             return None
-        return calls.Refusal(errors.ErrorKind.SUSPECT, retry_after_s=refusal_s)
+        return calls.Refusal(
+            errors.ErrorKind.SUSPECT,
+            f"request {fingerprint.hex()}",
+            retry_after_s=refusal_s,
+        )
 
     def _update_suspects(
         self, call: calls.Call, outcome: calls.Outcome, started_at: float
@@ -436,6 +441,7 @@
         known = self._latest_announcement
         if not self._losses or known is None:
             return
+        self.crashes += 1
         crash, lost = self._losses.take_crash(known.instance, known.started_ms)
         self.suspects.record_crash(crash, lost, clock.read_s())
         self._log.write(
--- a/src/lycheestair/sidecar/suspects.py
+++ b/src/lycheestair/sidecar/suspects.py
@@ -7,6 +7,7 @@
 learns it from the others.
 """
 
+from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
 import hashlib
@@ -84,8 +85,18 @@
     def __init__(self) -> None:
         self._suspects: dict[Fingerprint, _Suspect] = {}
 
-    def __bool__(self) -> bool:
-        return bool(self._suspects)
+    def __len__(self) -> int:
+        return len(self._suspects)
+
+    def __iter__(self) -> Iterator[Fingerprint]:
+        return iter(self._suspects)
+
+    def count_refused(self, now: float) -> int:
+        """Returns the number of suspects that are refused."""
+        return sum(
+            self.read_refusal_s(fingerprint, now) > 0
+            for fingerprint in self._suspects
+        )
 
     def record_crash(
         self,
--- a/tests/test_platform_suspects.py
+++ b/tests/test_platform_suspects.py
@@ -70,8 +70,19 @@
             later = await world.add("n9", "desk")
             await world.wait_ready()
             known = servers.crashes
-            assert (await later.request(CRASH.decode())).status == 503
+            response = await later.request(CRASH.decode())
+            assert response.status == 503
             assert servers.crashes == known
+            # Logs and metrics name the request and count it.
+            (fingerprint,) = later.node._server.suspects
+            assert fingerprint.hex().encode() in response.body
+            assert b"lycheestair_suspects_refused 1.0" in (
+                later.node._metrics.render()
+            )
+            assert (
+                sum(i.node._server.crashes for i in world.instances)
+                == servers.crashes
+            )
 
     run_scenario(scenario)
 
