--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import time
 import urllib.parse
 
@@ -85,6 +86,19 @@
     rate_limited: bool = False
 
 
+@dataclasses.dataclass
+class GateFaults:
+    """How the store turns away the callers of one address.
+
+    Attributes:
+      how: None, "silent", "reset", "busy" (503) or "many" (429).
+      calls: Number of calls, also of those that were turned away.
+    """
+
+    how: str | None = None
+    calls: int = 0
+
+
 class PlatformStore:
     """The platform's object store, as its documentation describes it."""
 
@@ -99,12 +113,29 @@
         self.oldest_revision = 10
         self._changed = asyncio.Event()
         self._listener = None
+        self._gates = []
 
     async def start(self):
         self._listener = await streams.listen(self.address, self._serve)
 
     def stop(self):
         self._listener.close()
+        for gate in self._gates:
+            gate.close()
+
+    async def open_gate(self, address):
+        """Opens another address of the store, which can turn callers away.
+
+        Returns:
+          The faults of this address.
+        """
+        faults = GateFaults()
+        self._gates.append(
+            await streams.listen(
+                address, functools.partial(self._serve, gate=faults)
+            )
+        )
+        return faults
 
     # Operations of the operator.
 
@@ -164,20 +195,32 @@
 
     # Requests of the nodes.
 
-    async def _serve(self, stream):
+    async def _serve(self, stream, gate=None):
+        gate = gate or GateFaults()
         try:
             while True:
                 request = await http1.read_request(stream, 16384, 2_000_000)
                 self.calls[request.method.decode()] += 1
-                if self.faults.unresponsive:
+                gate.calls += 1
+                if self.faults.unresponsive or gate.how == "silent":
                     await asyncio.sleep(30)
                     return
+                if gate.how == "reset":
+                    stream.abort()
+                    return
                 if request.method != b"GET" and self.faults.delayed_writes:
                     self.faults.delayed_writes -= 1
                     await asyncio.sleep(self.faults.write_delay_s)
                     await self._handle_request(request)
                     return
                 status, document = await self._handle_request(request)
+                if gate.how == "silent":
+                    # A watch that was waiting gets no answer either.
+                    await asyncio.sleep(30)
+                    return
+                if gate.how is not None:
+                    status = 429 if gate.how == "many" else 503
+                    document = {"error": "turned away"}
                 if (
                     request.method != b"GET"
                     and self.faults.unanswered_writes
@@ -319,6 +362,11 @@
         self.handler_override = None
         self._sequence = 0
         self._listener = None
+        self._streams = set()
+
+    @property
+    def is_down(self):
+        return self._listener is None or not self._listener.is_serving()
 
     async def start(self):
         self._listener = await streams.listen(self.address, self._serve)
@@ -326,6 +374,19 @@
     def stop(self):
         self._listener.close()
 
+    def crash(self):
+        """Ends the process, and with it all its connections."""
+        self.stop()
+        for stream in list(self._streams):
+            stream.abort()
+
+    async def restart(self):
+        """Starts a new process under the same id."""
+        await self.start()
+        self.started_ms += 1_000
+        self._sequence = 0
+        await self.announce()
+
     async def announce(self, **changes):
         """Sends a heartbeat; returns the status of the response."""
         self._sequence += 1
@@ -361,12 +422,15 @@
         return response.status
 
     async def _serve(self, stream):
+        self._streams.add(stream)
         try:
             while True:
                 request = await http1.read_request(stream, 16384, 2_000_000)
                 await self._run(stream, request)
         except (OSError, messages.IncompleteMessageError):
             return
+        finally:
+            self._streams.discard(stream)
 
     async def _run(self, stream, request):
         expected = request.find_header(b"x-expected-instance")
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -65,6 +65,8 @@
             f"{self.host}:8147", self.control, f"i-{name}", service, version
         )
         self.node = None
+        # Address at which the node calls the store.
+        self.store_address = world.store.address
 
     async def start(self):
         await self.backend_server.start()
@@ -87,7 +89,7 @@
         )
 
     async def start_node(self):
-        text = self.format_settings(self.world.store.address)
+        text = self.format_settings(self.store_address)
         self.node = node_lib.SidecarNode(
             settings_lib.decode(text), program.Platform()
         )
--- /dev/null
+++ b/tests/test_platform_crashes.py
@@ -0,0 +1,161 @@
+"""Requests that crash the backend servers that run them, at many nodes at once."""
+
+import asyncio
+import contextlib
+import time
+
+import platform_world
+import pytest
+
+CRASH = "/view/crash"
+# Arrivals later than this after the third crash are counted, see "BUDGET" in the
+# platform's rules.
+KNOWN_AFTER_S = 3.0
+MAX_LATE_ARRIVALS = 3
+# Two cells.
+NODES = (
+    ("n1", "desk", "v1", "a1"),
+    ("n2", "desk", "v1", "a1"),
+    ("n3", "desk", "v1", "a2"),
+    ("s1", "desk", "v1", "b1"),
+    ("s2", "desk", "v1", "b1"),
+    ("s3", "desk", "v1", "b2"),
+)
+
+
+def run_scenario(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+class CrashingServers:
+    """Backend servers that crash when they have run a certain request.
+
+    Attributes:
+      arrivals: Times at which the request reached a server.
+      crashes: Times of the crashes.
+    """
+
+    def __init__(self, instances, crash_after_s=0.12, back_after_s=1.3):
+        self.arrivals = []
+        self.crashes = []
+        self._crash_after_s = crash_after_s
+        self._back_after_s = back_after_s
+        self._restarts = []
+        for instance in instances:
+            self.add(instance)
+
+    def add(self, instance):
+        server = instance.backend_server
+        server.slots = 8
+
+        async def handle(request, stream):
+            if request.target.decode() != CRASH:
+                await asyncio.sleep(0.05)
+                stream.write(server.encode(request))
+                return
+            self.arrivals.append(time.monotonic())
+            started_ms = server.started_ms
+            await asyncio.sleep(self._crash_after_s)
+            if server.started_ms != started_ms or server.is_down:
+                return
+            self.crashes.append(time.monotonic())
+            server.crash()
+            await asyncio.sleep(self._back_after_s)
+            await server.restart()
+
+        server.handler_override = handle
+
+    def count_late_arrivals(self):
+        if len(self.crashes) < 3:
+            return 0
+        known_at = sorted(self.crashes)[2] + KNOWN_AFTER_S
+        return sum(at > known_at for at in self.arrivals)
+
+
+async def send_everywhere(instances, copies=2, gap_s=0.0):
+    """Sends the request to all nodes; returns the statuses of the responses."""
+    tasks = []
+    for instance in instances:
+        for _ in range(copies):
+            tasks.append(asyncio.create_task(instance.request(CRASH)))
+        await asyncio.sleep(gap_s)
+    return [response.status for response in await asyncio.gather(*tasks)]
+
+
+@contextlib.asynccontextmanager
+async def run_world():
+    """Runs a deployment whose servers send heartbeats."""
+    async with platform_world.run(*NODES) as world:
+        task = asyncio.create_task(send_heartbeats(world.instances))
+        try:
+            yield world
+        finally:
+            task.cancel()
+
+
+async def send_heartbeats(instances):
+    while True:
+        await asyncio.sleep(1.0)
+        for instance in instances:
+            if not instance.backend_server.is_down:
+                with contextlib.suppress(OSError):
+                    await instance.backend_server.announce()
+
+
+async def assert_others_are_served(instances):
+    for instance in instances:
+        response = await instance.request("/view/other")
+        assert response.status == 200
+
+
+@pytest.mark.parametrize(
+    ("crash_after_s", "back_after_s", "copies", "gap_s"),
+    [(0.12, 1.3, 2, 0.0), (0.8, 1.5, 1, 0.1), (1.3, 1.3, 2, 0.3)],
+)
+def test_request_sent_to_all_nodes_at_once_stops_crashing_servers(
+    crash_after_s, back_after_s, copies, gap_s
+):
+    """Guards against crashes that count as one because they overlap."""
+
+    async def scenario():
+        async with run_world() as world:
+            servers = CrashingServers(
+                world.instances, crash_after_s, back_after_s
+            )
+            for _ in range(2):
+                await send_everywhere(world.instances, copies, gap_s)
+                await asyncio.sleep(3.6)
+            statuses = await send_everywhere(world.instances, copies)
+            assert servers.count_late_arrivals() <= MAX_LATE_ARRIVALS
+            assert set(statuses) == {503}
+            await assert_others_are_served(world.instances)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "restarted", [6, 3, 1], ids=["all nodes", "a cell", "a node"]
+)
+def test_request_stays_refused_after_a_restart(restarted):
+    """Guards against crashes that are forgotten together with the nodes."""
+
+    async def scenario():
+        async with run_world() as world:
+            servers = CrashingServers(world.instances)
+            for instance in world.instances:
+                await instance.request(CRASH)
+                await asyncio.sleep(0.9)
+            await asyncio.sleep(1.3)
+            for instance in world.instances[:restarted]:
+                instance.node.stop()
+            for instance in world.instances[:restarted]:
+                await instance.start_node()
+            await world.wait_ready()
+            await asyncio.sleep(1.5)
+            for _ in range(2):
+                await send_everywhere(world.instances)
+                await asyncio.sleep(2.0)
+            assert servers.count_late_arrivals() <= MAX_LATE_ARRIVALS
+            await assert_others_are_served(world.instances)
+
+    run_scenario(scenario)
