Ask several nodes for a newer configuration, and give no final 404 meanwhile

Callers of a node that knew that a newer configuration exists got 404 by its own, and no client repeats a request after 404; it now answers 503 with a Retry-After, which is true, since the request has not run. A node asked the same best source again and again, also when that one was silent; each source is now asked once before any is asked again, and those whose pings are overdue last.

--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -227,7 +227,14 @@
             outcome = calls.Refusal(errors.ErrorKind.NOT_READY)
         else:
             route = catalog.match(request.host, request.path)
-            if route is None:
+            if route is None and self._gossip.replica.is_outdated:
+                # The newer configuration may have the route, and no client
+                # repeats a request after status 404.
+                outcome = calls.Refusal(
+                    errors.ErrorKind.NOT_READY,
+                    "newer configuration not received yet",
+                )
+            elif route is None:
                 outcome = calls.Refusal(errors.ErrorKind.NO_ROUTE)
             else:
                 call = self._create_call(request, request_id, route, arrived_at)
--- a/src/lycheestair/sidecar/replica.py
+++ b/src/lycheestair/sidecar/replica.py
@@ -62,6 +62,13 @@
         self._previous_catalogs: dict[ids.Generation, catalog_lib.Catalog] = {}
         self._newer_known_since = 0.0
         self._fetch_sent_at = 0.0
+        # Nodes asked for a newer configuration that haven't sent it.
+        self._asked: set[ids.NodeId] = set()
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether another node is known to have a newer configuration."""
+        return bool(self._newer_known_since)
 
     def activate(self, catalog: catalog_lib.Catalog) -> bool:
         """Brings a configuration into force if it is newer.
@@ -79,6 +86,7 @@
             del self._previous_catalogs[generation]
         self.catalog = catalog
         self._newer_known_since = 0.0
+        self._asked.clear()
         self._log.write(
             "configuration in force",
             generation=catalog.generation,
@@ -200,6 +208,7 @@
             ]
         ):
             self._fetch_sent_at = now
+            self._asked.add(member.record.node_id)
         else:
             link.request_connection()
 
@@ -214,12 +223,25 @@
         ]
         if not newer_members:
             self._newer_known_since = 0.0
+            self._asked.clear()
             return
         if not self._newer_known_since:
             self._newer_known_since = now
+        # A silent node must not be asked again and again.
+        unasked = [
+            member
+            for member in newer_members
+            if member.record.node_id not in self._asked
+        ]
+        if not unasked:
+            self._asked.clear()
         best_source = max(
-            newer_members,
-            key=lambda m: (self._cells.is_in_own_cell(m), m.generation),
+            unasked or newer_members,
+            key=lambda m: (
+                not m.ping_overdue,
+                self._cells.is_in_own_cell(m),
+                m.generation,
+            ),
         )
         # A relay usually requests a configuration from another cell and forwards
         # it, so that other nodes needn't.
