Let many nodes try the store at once when feeders have lost it

Callers got 404 for new routes up to 7 s after their configuration was acknowledged, from nodes that the store served all the time. The nodes were asked for the store three at a time, in a fixed order, about 3 s each; a silent store was noticed after 2.0 to 2.5 s. Ruled out: a loss between the nodes (no node had the configuration before).

When a feeder reports that it has lost the store, each node takes part in rounds of tries with a probability that falls with the number of nodes (store_search), so that the expected calls of a round are bounded; a node that reaches the store applies and publishes the configuration at once and ranks before nodes that haven't tried. A node that is to replace a feeder tries the store before it waits. A late answer makes the store unavailable 0.3 to 0.9 s after it was due; one that still comes is used.

--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 import math
 import random
 from typing import Any
@@ -18,13 +19,19 @@
 from lycheestair.sidecar import rollout as rollout_lib
 from lycheestair.sidecar import settings as settings_lib
 from lycheestair.sidecar import store as store_lib
+from lycheestair.sidecar import store_search
 from lycheestair.sidecar import versions as versions_lib
 
-# Timeout of a watch. An unresponsive connection is only detected when a watch
-# times out, which must be within the time allowed for a new configuration to
-# reach the nodes.
-WATCH_TIMEOUT_S: Final = 1.5
-NODES_WATCH_TIMEOUT_S: Final = 4.0
+# Durations of watches. A store that has fallen silent is only detected when a watch
+# isn't answered, which must leave time for a new configuration to reach the nodes.
+CONFIGURATION_WATCH_S: Final = 1.0
+ROLLOUTS_WATCH_S: Final = 1.5
+NODES_WATCH_S: Final = 4.0
+# The store counts as unavailable when the answer to a watch is late by this, or by
+# LATENESS_FACTOR times what the previous one was late. The client waits longer.
+MIN_LATENESS_S: Final = 0.3
+MAX_LATENESS_S: Final = 0.9
+LATENESS_FACTOR: Final = 2.0
 # A feeder delays sending a change by this time multiplied by its rank, and
 # skips nodes that have acknowledged it meanwhile. Longer than a round trip
 # between regions, so that acknowledgements arrive in time.
@@ -86,6 +93,13 @@
         self._activated = asyncio.Event()
         self._eligible_since = math.inf
         self._store_probed_at = 0.0
+        self._search = store_search.StoreSearch(random.Random())
+        self._probe: asyncio.Task[None] | None = None
+        # Whether to find out at once if this node can become a feeder.
+        self._probe_requested = False
+        # How late the store answered the latest watch.
+        self._lateness_s = 0.0
+        gossip.on_feeder_lost_store = self._begin_search
 
     async def run(self) -> None:
         """Registers this node, then runs the feeder tasks until cancelled."""
@@ -95,19 +109,19 @@
             for work in (
                 lambda: self._watch(
                     kinds.configuration,
-                    WATCH_TIMEOUT_S,
+                    CONFIGURATION_WATCH_S,
                     self._apply_catalogs,
                     self._apply_catalogs,
                 ),
                 lambda: self._watch(
                     kinds.rollouts,
-                    WATCH_TIMEOUT_S,
+                    ROLLOUTS_WATCH_S,
                     self._apply_rollouts,
                     self._apply_rollouts,
                 ),
                 lambda: self._watch(
                     kinds.nodes,
-                    NODES_WATCH_TIMEOUT_S,
+                    NODES_WATCH_S,
                     self._apply_node_records,
                     self._apply_node_listing,
                 ),
@@ -145,7 +159,9 @@
         if not active:
             self._eligible_since = math.inf
         elif not self._active:
-            self._eligible_since = min(self._eligible_since, now)
+            if self._eligible_since == math.inf:
+                self._eligible_since = now
+                self._probe_requested = True
             if self._gossip.catalog.generation:
                 active = now - self._eligible_since >= TAKEOVER_DELAY_S
         if active != self._active:
@@ -167,11 +183,50 @@
         """
         while True:
             await self._gossip.wait_for_tick()
-            if (
-                not self._update_active()
-                and self._gossip.store_available is False
-            ):
-                await self._probe_store_if_due()
+            active = self._update_active()
+            if self._probe is not None:
+                if not self._probe.done():
+                    continue
+                probe, self._probe = self._probe, None
+                probe.result()
+            if self._should_probe_store(active, clock.read_s()):
+                # A silent store must not delay the role.
+                self._probe = asyncio.get_running_loop().create_task(
+                    self._probe_store()
+                )
+
+    def _should_probe_store(self, active: bool, now: float) -> bool:
+        should_try = self._search.should_try(now, len(self._table))
+        if self._search.active and self._gossip.is_store_reached():
+            self._search.end()
+        if active or self._gossip.leaving:
+            return False
+        if should_try or self._probe_requested:
+            self._probe_requested = False
+            return True
+        if self._gossip.store_available is not False:
+            return False
+        interval_s = (
+            STORE_PROBE_INTERVAL_S
+            if self._gossip.should_probe_store()
+            else SLOW_STORE_PROBE_INTERVAL_S
+        )
+        return (
+            now - self._store_probed_at > random.uniform(0.5, 1.0) * interval_s
+        )
+
+    def _begin_search(self) -> None:
+        """Begins a search for nodes that the store serves.
+
+        What other nodes have told of the store is outdated. The feeders notice a
+        loss themselves.
+        """
+        if not self._search.begin(clock.read_s()):
+            return
+        self._gossip.forget_store_reports()
+        if not self._active and self._gossip.store_available:
+            self._gossip.store_available = None
+        self._log.write("store search begun")
 
     def _set_store_available(self, answered: bool, error: str = "") -> None:
         if self._gossip.store_available == answered:
@@ -274,10 +329,12 @@
                 continue
             try:
                 if revision is None:
-                    listing = await self._store.list(kind)
+                    listing = await self._await_answer(
+                        self._store.list(kind), MAX_LATENESS_S
+                    )
                     apply_items = apply_listing
                 else:
-                    listing = await self._store.watch(kind, revision, wait_s)
+                    listing = await self._call_watch(kind, revision, wait_s)
                     apply_items = apply_changes
                 self._set_store_available(True)
                 revision = listing.revision
@@ -292,21 +349,46 @@
                     random.uniform(0.5, 1.0) * MIN_RETRY_DELAY_S
                 )
 
-    async def _probe_store_if_due(self) -> None:
-        """Checks periodically whether this node can use the store again."""
-        interval_s = (
-            STORE_PROBE_INTERVAL_S
-            if self._gossip.should_probe_store()
-            else SLOW_STORE_PROBE_INTERVAL_S
+    async def _call_watch(
+        self, kind: str, revision: revisions.Revision, wait_s: float
+    ) -> store_lib.Listing:
+        allowed_s = min(
+            MAX_LATENESS_S,
+            max(MIN_LATENESS_S, LATENESS_FACTOR * self._lateness_s),
         )
-        now = clock.read_s()
-        if now - self._store_probed_at > random.uniform(0.5, 1.0) * interval_s:
-            self._store_probed_at = now
-            await self._probe_store()
+        began_at = clock.read_s()
+        listing = await self._await_answer(
+            self._store.watch(kind, revision, wait_s), wait_s + allowed_s
+        )
+        self._lateness_s = max(0.0, clock.read_s() - began_at - wait_s)
+        return listing
+
+    async def _await_answer(
+        self,
+        call: Coroutine[Any, Any, store_lib.Listing],
+        expected_s: float,
+    ) -> store_lib.Listing:
+        """Returns the answer to a call; the store is unavailable while it is late.
+
+        A silent store is known sooner than the call times out, and a slow one is
+        available again when it answers.
+        """
+        task = asyncio.get_running_loop().create_task(call)
+        try:
+            await asyncio.wait({task}, timeout=expected_s)
+            if not task.done():
+                self._set_store_available(False, "answer is late")
+            return await task
+        finally:
+            task.cancel()
 
     async def _probe_store(self) -> None:
+        """Checks whether this node can use the store."""
+        self._store_probed_at = clock.read_s()
         try:
-            listing = await self._store.list(self._kinds.configuration)
+            listing = await self._await_answer(
+                self._store.list(self._kinds.configuration), MAX_LATENESS_S
+            )
         except store_lib.StoreUnavailableError as error:
             self._set_store_available(False, str(error))
             return
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -1,6 +1,7 @@
 """Exchanges members, statuses, configurations and rollouts between nodes."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 import heapq
 import math
@@ -61,6 +62,8 @@
       leaving: Whether this node is shutting down.
       store_available: Whether the store answers this node; None if unknown.
       store_latency_ms: Duration of a store call from this node.
+      on_feeder_lost_store: Called when a feeder has reported that the store doesn't
+        answer it.
       cells: Cells of the nodes.
       digests: Exchange of digests with other cells.
       replica: Holder of the configuration in force.
@@ -77,6 +80,7 @@
         self.leaving = False
         self.store_available: bool | None = None
         self.store_latency_ms = 0
+        self.on_feeder_lost_store: Callable[[], None] = lambda: None
         self._settings = settings
         self._table = table
         self._serving_node = server
@@ -317,7 +321,15 @@
             member.reachable = True
 
     def _apply_status(self, member: members.Member, fields: list[Any]) -> None:
-        if not statuses.apply_status(member, fields):
+        was_served = member.store_available is not False
+        endpoint_changed = statuses.apply_status(member, fields)
+        if (
+            was_served
+            and member.store_available is False
+            and member in self._feeders
+        ):
+            self.on_feeder_lost_store()
+        if not endpoint_changed:
             return
         endpoint = member.endpoint
         self._log.write(
@@ -503,6 +515,16 @@
             return False
         return self._table.own in self._select_feeders(self._table)
 
+    def is_store_reached(self) -> bool:
+        """Whether a feeder is known to be served by the store."""
+        return any(member.store_available for member in self.list_feeders())
+
+    def forget_store_reports(self) -> None:
+        """Forgets which nodes that aren't feeders the store has served."""
+        for member in self._table.list_others():
+            if member.store_available and member not in self._feeders:
+                member.store_available = None
+
     @staticmethod
     def _select_feeders(
         candidates: Iterable[members.Member],
@@ -515,6 +537,7 @@
                 if member.reachable and not member.leaving
             ),
             key=lambda member: (
+                not member.store_available,
                 member.store_latency_ms > REMOTE_STORE_LATENCY_MS,
                 member.record.node_id,
             ),
--- a/tests/test_platform_store_access.py
+++ b/tests/test_platform_store_access.py
@@ -1,11 +1,14 @@
 """A configuration arrives in time when the store turns most nodes away."""
 
 import asyncio
+import random
 import time
 
 import platform_world
 import pytest
 
+from lycheestair.sidecar import store_search
+
 # Time within which a configuration that the store has accepted is in force.
 APPLY_S = 2.5
 # In the order in which they are feeders.
@@ -68,3 +71,121 @@
         assert await change_configuration(world, 9) < APPLY_S
 
     run_scenario(lambda: run_world(test))
+
+
+def test_configuration_arrives_when_the_feeders_end_as_well():
+    """Guards against a next feeder that waits before it tries the store."""
+
+    async def test(world):
+        for instance in world.instances[3:-1]:
+            instance.gate.how = "busy"
+        await asyncio.sleep(1.5)
+        for instance in world.instances[:3]:
+            instance.node.stop()
+        del world.instances[:3]
+        assert await change_configuration(world, 8) < APPLY_S
+
+    run_scenario(lambda: run_world(test))
+
+
+def test_configuration_arrives_after_the_store_turned_all_nodes_away():
+    """Guards against nodes that stay turned away in the view of the others."""
+
+    async def test(world):
+        for instance in world.instances:
+            instance.gate.how = "busy"
+        await asyncio.sleep(3.0)
+        calls = sum(instance.gate.calls for instance in world.instances)
+        await asyncio.sleep(4.0)
+        later_calls = sum(instance.gate.calls for instance in world.instances)
+        # At most 3 nodes a second, and two rounds of the search.
+        assert later_calls - calls < 4 * 2 * 3 + 2 * len(world.instances)
+        for instance in world.instances:
+            instance.gate.how = None
+        assert await change_configuration(world, 8) < APPLY_S
+
+    run_scenario(lambda: run_world(test))
+
+
+def test_one_feeder_without_the_store_changes_no_other_feeder():
+    """Guards against a search that replaces feeders that are served."""
+
+    async def test(world):
+        world.instances[1].gate.how = "busy"
+        await asyncio.sleep(3.0)
+        active = [
+            instance.name
+            for instance in world.instances
+            if instance.node._feeder._active
+        ]
+        assert active == ["n00", "n02", "n03"]
+
+    run_scenario(lambda: run_world(test))
+
+
+class PlayedSearch:
+    """A search by many nodes of which the store serves a few, in virtual time.
+
+    Attributes:
+      calls: Times of the calls of all nodes.
+    """
+
+    def __init__(self, nodes, served, seed):
+        generator = random.Random(seed)
+        self._served = served
+        self._searches = [
+            store_search.StoreSearch(random.Random(generator.random()))
+            for _ in range(nodes)
+        ]
+        self.calls = []
+        for search in self._searches:
+            search.begin(0.0)
+
+    def play(self, until_s):
+        """Returns when a node was served, in seconds; None if none was."""
+        for tick in range(int(until_s / 0.1)):
+            now = tick * 0.1
+            trying = [
+                number
+                for number, search in enumerate(self._searches)
+                if search.should_try(now, len(self._searches))
+            ]
+            self.calls += [now] * len(trying)
+            if any(number < self._served for number in trying):
+                return now
+        return None
+
+
+@pytest.mark.parametrize("share", [0.5, 0.8, 0.9, 0.97])
+@pytest.mark.parametrize("nodes", [12, 90, 19_000])
+def test_search_finds_a_served_node_in_time_at_any_size(nodes, share):
+    """Guards against a search whose time or calls grow with the fleet."""
+    served = max(1, int(nodes * (1 - share)))
+    plays = [PlayedSearch(nodes, served, seed) for seed in range(5)]
+    times = [play.play(2.0) for play in plays]
+    assert None not in times
+    # A silent store is known 1.3 s after it fell silent.
+    assert max(times) < APPLY_S - 1.3
+    assert max(len(play.calls) for play in plays) <= 2 * 7 * 32
+
+
+@pytest.mark.parametrize("nodes", [12, 19_000])
+def test_search_costs_little_while_the_store_serves_nobody(nodes):
+    """Guards against calls of all nodes to a store that is away."""
+    play = PlayedSearch(nodes, 0, 1)
+    assert play.play(60.0) is None
+    late_calls = [at for at in play.calls if at > 5.0]
+    assert len(play.calls) - len(late_calls) < 600
+    assert len(late_calls) < 60 * 2 * 32 / store_search.LATE_ROUND_INTERVAL_S
+
+
+def test_losses_shortly_after_each_other_begin_one_search():
+    """Guards against a search for each feeder that loses the store."""
+    search = store_search.StoreSearch(random.Random(1))
+    assert search.begin(10.0)
+    assert search.should_try(10.0, 12)
+    search.end()
+    assert not search.begin(11.0)
+    assert not search.should_try(11.0, 12)
+    assert search.begin(12.5)
+    assert search.should_try(12.5, 12)
