Run a request that crashes servers at one server at a time

Attempts that overlap in time counted as one crash, because harmless requests are lost beside the one that crashes servers; so a request that comes in waves stayed below the limit of three.

Crashes count one by one now, and instead of a refusal, three of them put the request under trial: all nodes send it to the same server, selected by a hash, whose node runs one trial at a time; further copies get 503, which is true. An answer clears the request, so that a harmless one is served again after one run; a crash in a trial has one cause, and all nodes refuse the request for 2 minutes, after the next failed trial for 10. A request that waits in a queue is checked again before it is sent. On paths beside it: requests whose client left and answers that broke off count as lost, a server that accepts no connection counts as crashed, an answer 5xx clears nothing, suspects with most crashes are kept when the table is full, and are sent again every 5 s in case a frame was lost.

Three tests of suspects asserted the former rule (refusal for 600 s after three crashes one after the other); they assert the trial, its failure and the times that follow, and that crashes together lead to no refusal, as before.

--- a/src/lycheestair/sidecar/balancer.py
+++ b/src/lycheestair/sidecar/balancer.py
@@ -15,6 +15,8 @@
 from lycheestair import ids
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import members
+from lycheestair.sidecar import suspects
+from lycheestair.sidecar import trials
 from lycheestair.sidecar import versions as versions_lib
 
 # Cost of sending a request to another failure domain or region, expressed as
@@ -98,6 +100,29 @@
                 return member
         return None
 
+    def choose_tester(
+        self, call: calls.Call, fingerprint: suspects.Fingerprint
+    ) -> members.Member | None:
+        """Returns the member for the trial of a request, None if there is none.
+
+        All nodes return the same one if they know the same members. Also sets
+        `call.instance`.
+        """
+        shares = self._planner.compute_shares(
+            call.service, self._table.list_versions(call.service)
+        )
+        for version in sorted(shares, key=lambda v: (-shares[v], v)):
+            if not shares[version]:
+                break
+            member = trials.select_tester(
+                fingerprint, self._iterate_usable(call.service, version)
+            )
+            if member is not None and member.endpoint is not None:
+                call.instance = member.endpoint.instance
+                call.max_wait_s = None
+                return member
+        return None
+
     def _choose_version(
         self, shares: dict[ids.VersionName, float]
     ) -> ids.VersionName:
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -27,6 +27,7 @@
 from lycheestair.sidecar import settings as settings_lib
 from lycheestair.sidecar import splits
 from lycheestair.sidecar import streams
+from lycheestair.sidecar import suspects
 from lycheestair.sidecar import versions as versions_lib
 
 MIN_ERROR_STATUS: Final = 400
@@ -349,6 +350,8 @@
         """
         retry_budget = self._budgets.find(call.service)
         retry_budget.record_request(call.own)
+        if self._serving_node.classify(call) is suspects.Verdict.TRIAL:
+            return await self._send_trial(call, tried)
         reached_count = overloaded_count = long_queue_count = 0
         outcome: calls.Outcome = calls.Refusal(errors.ErrorKind.NO_ENDPOINT)
         any_possibly_executed = False
@@ -382,6 +385,8 @@
             any_possibly_executed |= possibly_executed
             if not _may_retry(call, latest):
                 break
+            if self._serving_node.classify(call) is not suspects.Verdict.CLEAN:
+                break
             if isinstance(latest, http1.Response) or latest.reached:
                 reached_count += 1
             elif latest.kind is errors.ErrorKind.OVERLOADED:
@@ -396,6 +401,17 @@
             call.is_retry = reached_count > 0
         return outcome
 
+    async def _send_trial(
+        self, call: calls.Call, tried: list[str]
+    ) -> calls.Outcome:
+        """Sends a request that may crash servers to one of them, once."""
+        fingerprint = suspects.compute_fingerprint(call)
+        member = self._balancer.choose_tester(call, fingerprint)
+        if member is None or call.remaining_s <= 0:
+            return calls.Refusal(errors.ErrorKind.NO_ENDPOINT)
+        tried.append(member.record.node_id)
+        return await self._send(call, member)
+
     async def _send(
         self, call: calls.Call, member: members.Member
     ) -> calls.Outcome:
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 import heapq
 import math
+import random
 from typing import Any
 from typing import Final
 
@@ -50,6 +51,9 @@
 # Store calls from within the store's region are faster than this. Feeders in
 # other regions rank last, because they transfer each change between regions.
 REMOTE_STORE_LATENCY_MS: Final = 25
+# Interval at which a node that knows suspects sends them to one other node, in case
+# that an earlier frame was lost.
+SUSPECTS_INTERVAL_S: Final = 5.0
 # Nodes that aren't members yet whose departures are kept. Relays of other cells may
 # send those of a whole cell before this node knows its members.
 MAX_EARLY_DEPARTURES: Final = 1_000
@@ -109,6 +113,7 @@
         )
         self._status_sent_at = 0.0
         self._slow_tick_at = 0.0
+        self._suspects_sent_at = 0.0
         self._tick_finished = asyncio.Event()
         # Departures of nodes that aren't members yet.
         self._early_departures: dict[ids.NodeId, departures_lib.Departures] = {}
@@ -471,6 +476,18 @@
         """Sends the known suspects to this cell and a relay of each other one."""
         self._send_to_all_cells(self._encode_suspects())
 
+    def _send_suspects_if_due(self, now: float) -> None:
+        """Sends the known suspects to a random node that this one is linked to."""
+        if (
+            not self._serving_node.suspects
+            or now - self._suspects_sent_at < SUSPECTS_INTERVAL_S
+        ):
+            return
+        self._suspects_sent_at = now
+        connected = [link for link in self._links.values() if link.connected]
+        if connected:
+            random.choice(connected).send(self._encode_suspects())
+
     def _encode_suspects(self) -> frames.Frame:
         return [
             frames.FrameType.SUSPECTS,
@@ -638,6 +655,7 @@
         # Not sent at each change: a server may name another limit in every
         # response.
         self._publish_limit_if_changed()
+        self._send_suspects_if_due(now)
         self._detect_bad_versions()
 
     def _detect_bad_versions(self) -> None:
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -29,6 +29,7 @@
 from lycheestair.sidecar import settings as settings_lib
 from lycheestair.sidecar import streams
 from lycheestair.sidecar import suspects as suspects_lib
+from lycheestair.sidecar import trials
 
 # Consecutive missed heartbeats after which the backend server counts as gone.
 MAX_MISSED_HEARTBEATS: Final = 4
@@ -48,8 +49,14 @@
 MISDIRECTED_REQUEST_STATUS: Final = 421
 # Outcomes of a request that may have crashed its backend server.
 UNANSWERED: Final = frozenset(
-    {errors.ErrorKind.CONNECTION_LOST, errors.ErrorKind.TIMEOUT}
+    {
+        errors.ErrorKind.ANSWER_INCOMPLETE,
+        errors.ErrorKind.CONNECTION_LOST,
+        errors.ErrorKind.TIMEOUT,
+    }
 )
+# A backend server may go on with a request for this long after it was cancelled.
+MAX_RUN_AFTER_CANCELLATION_S: Final = 1.0
 LEAVING: Final = b"1"
 MIN_SERVER_ERROR_STATUS: Final = 500
 # Smallest deadline that is sent to the backend server. A call with less time
@@ -104,6 +111,7 @@
         self.on_suspects_change: Callable[[], None] = lambda: None
         self.crashes = 0
         self._losses = suspects_lib.LossTracker()
+        self._trial = trials.TrialSlot()
         self._crash_check: asyncio.Task[None] | None = None
         self.sent_requests = 0
         self.sent_retries = 0
@@ -376,58 +384,127 @@
         )
         if refusal is not None:
             return refusal
+        # The call may have become a suspect while it was waiting.
+        refusal = self.refuse_suspect(call, begin_trial=True)
+        if refusal is not None:
+            self.admission.release(call, False)
+            return refusal
         if call.idempotent:
             return await self._run_admitted(endpoint, call)
         # A non-idempotent request continues if its client disconnects:
         # cancelling it would leave unknown whether it was executed.
         return await asyncio.shield(self._run_admitted(endpoint, call))
 
-    def refuse_suspect(self, call: calls.Call) -> calls.Refusal | None:
-        """Returns the refusal of a request that crashes servers, else None."""
+    def classify(self, call: calls.Call) -> suspects_lib.Verdict:
+        """Returns how a call must be handled."""
+        if not self.suspects:
+            return suspects_lib.Verdict.CLEAN
+        return self.suspects.classify(
+            suspects_lib.compute_fingerprint(call), clock.read_s()
+        )
+
+    def refuse_suspect(
+        self, call: calls.Call, begin_trial: bool = False
+    ) -> calls.Refusal | None:
+        """Returns the refusal of a request that crashes servers, else None.
+
+        Args:
+          call: The call with the request.
+          begin_trial: Whether the request runs now unless it is refused.
+        """
         if not self.suspects:
             return None
+        now = clock.read_s()
         fingerprint = suspects_lib.compute_fingerprint(call)
-        refusal_s = self.suspects.read_refusal_s(fingerprint, clock.read_s())
-        if not refusal_s:
+        verdict = self.suspects.classify(fingerprint, now)
+        if verdict is suspects_lib.Verdict.CLEAN:
             return None
+        if verdict is suspects_lib.Verdict.REFUSE:
+            retry_after_s = self.suspects.read_refusal_s(fingerprint, now)
+        elif begin_trial and self._trial.begin(fingerprint, now):
+            self._log.write("trial begun", fingerprint=fingerprint.hex())
+            return None
+        elif not begin_trial and self._trial.find_running(now) is None:
+            return None
+        else:
+            retry_after_s = trials.RETRY_AFTER_S
         return calls.Refusal(
             errors.ErrorKind.SUSPECT,
             f"request {fingerprint.hex()}",
-            retry_after_s=refusal_s,
+            retry_after_s=retry_after_s,
         )
 
     def _update_suspects(
         self, call: calls.Call, outcome: calls.Outcome, started_at: float
     ) -> None:
         """Tracks requests without an answer, and clears those with one."""
-        if isinstance(outcome, http1.Response):
-            if self._losses:
-                self._losses.record_answer(started_at)
-            if self.suspects and self.suspects.clear(
-                suspects_lib.compute_fingerprint(call)
-            ):
-                self.on_suspects_change()
-        elif outcome.kind in UNANSWERED:
-            self._losses.add(
-                suspects_lib.compute_fingerprint(call),
-                (started_at, clock.read_s()),
+        if not isinstance(outcome, http1.Response):
+            if outcome.kind in UNANSWERED:
+                self._add_loss(call, clock.read_s())
+                self._request_crash_check()
+                if self._is_trial(call):
+                    self._trial.mark_lost()
+            else:
+                self._end_trial(call)
+            return
+        if self._losses:
+            self._losses.record_answer(started_at)
+        if not self.suspects:
+            return
+        self._end_trial(call)
+        # A failure doesn't show that the request was run to its end.
+        if outcome.status < MIN_SERVER_ERROR_STATUS and self.suspects.clear(
+            suspects_lib.compute_fingerprint(call)
+        ):
+            self.on_suspects_change()
+
+    def _add_loss(self, call: calls.Call, lost_at: float) -> None:
+        self._losses.add(suspects_lib.compute_fingerprint(call), lost_at)
+
+    def _add_cancelled(self, call: calls.Call) -> None:
+        """Tracks a request that was cancelled before its answer.
+
+        Most clients leave while the server works as it should, so that only
+        timeouts and trials are a reason to check it.
+        """
+        now = clock.read_s()
+        self._add_loss(call, now + MAX_RUN_AFTER_CANCELLATION_S)
+        is_trial = self._is_trial(call)
+        if is_trial:
+            self._trial.mark_lost()
+        if is_trial or call.deadline <= now:
+            self._request_crash_check()
+
+    def _is_trial(self, call: calls.Call) -> bool:
+        running = self._trial.find_running(clock.read_s())
+        return (
+            running is not None
+            and running == suspects_lib.compute_fingerprint(call)
+        )
+
+    def _end_trial(self, call: calls.Call) -> None:
+        if self._is_trial(call):
+            self._trial.end()
+
+    def _request_crash_check(self) -> None:
+        if self._crash_check is None or self._crash_check.done():
+            self._crash_check = asyncio.get_running_loop().create_task(
+                self._check_crash()
             )
-            if self._crash_check is None or self._crash_check.done():
-                self._crash_check = asyncio.get_running_loop().create_task(
-                    self._check_crash()
-                )
 
     async def _check_crash(self) -> None:
         """Finds out whether the backend server accepts connections."""
         await asyncio.sleep(CRASH_CHECK_DELAY_S)
-        if not self._losses or self.endpoint is None:
-            return
-        try:
-            self._return_connection(await self._pool.check_out(True))
-        except ConnectionRefusedError:
-            self._withdraw_unreachable()
-        except OSError as error:
-            self._log.write("crash check failed", error=repr(error))
+        if self._losses and self.endpoint is not None:
+            try:
+                self._return_connection(await self._pool.check_out(True))
+            except ConnectionRefusedError:
+                self._withdraw_unreachable()
+            except OSError as error:
+                # It may only be busy. Suspects that are answered are cleared.
+                self._log.write("crash check failed", error=repr(error))
+                self._record_crash()
+        self._trial.end_if_lost()
 
     def _withdraw_unreachable(self) -> None:
         """Withdraws a backend server whose address nothing listens on.
@@ -442,8 +519,12 @@
         if not self._losses or known is None:
             return
         self.crashes += 1
+        now = clock.read_s()
         crash, lost = self._losses.take_crash(known.instance, known.started_ms)
-        self.suspects.record_crash(crash, lost, clock.read_s())
+        trial = self._trial.find_running(now)
+        self.suspects.record_crash(crash, lost, trial, now)
+        if trial in lost:
+            self._trial.end()
         self._log.write(
             "backend server crashed",
             instance=known.instance,
@@ -549,6 +630,9 @@
             return self._classify_response(response, endpoint)
         except TimeoutError:
             return calls.Refusal(errors.ErrorKind.TIMEOUT, reached=True)
+        except asyncio.CancelledError:
+            self._add_cancelled(call)
+            raise
         except messages.IncompleteMessageError as error:
             return calls.Refusal(
                 errors.ErrorKind.ANSWER_INCOMPLETE
--- a/src/lycheestair/sidecar/suspects.py
+++ b/src/lycheestair/sidecar/suspects.py
@@ -1,18 +1,21 @@
 """Requests that crash the backend servers that run them.
 
 Answers a load of few requests that take down one server after another: the same
-request comes again, at any node. A request that was being processed when a server
-crashed is a suspect. After CRASH_LIMIT crashes without an answer in between, all
-nodes refuse it. Nodes merge what they know in any order, and a restarted node
-learns it from the others.
+request comes again, at any node and at many nodes at once. A request that was being
+processed when a server crashed is a suspect. Harmless requests were lost beside it,
+and crashes that come together tell nothing of which request caused them. Therefore a
+request under which CRASH_LIMIT servers have crashed is only run as a trial, one at a
+time (`trials`). An answer clears it; if the server crashes again, all nodes refuse the
+request for some time. Nodes merge what they know in any order, and a restarted node
+learns it from the others or from the store (`suspect_records`).
 """
 
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
+import enum
 import hashlib
 import itertools
-import math
 from typing import Any
 from typing import Final
 from typing import NewType
@@ -21,62 +24,70 @@
 
 # Identifies requests that are the same for a backend server.
 Fingerprint = NewType("Fingerprint", bytes)
-# Identifies a crash: the instance that crashed and a number.
+# Identifies a crash: the instance that crashed and a number. TRIAL_PREFIX marks
+# crashes in trials, in a form that nodes of earlier releases pass on.
 CrashId = NewType("CrashId", str)
-# Times at which a request began and was lost. They are those of `clock.read_s`.
-Attempt = tuple[float, float]
+TRIAL_PREFIX: Final = "trial:"
 
-# Crashes, one after the other, after which a request is refused. The first ones may
-# have been caused by another request that was processed at the same time.
+# Crashes after which a request is only run as a trial.
 CRASH_LIMIT: Final = 3
-# Attempts that overlap by less than this count as one after the other: their times
-# were measured at different nodes.
-MAX_TIME_DIFFERENCE_S: Final = 0.1
-# A refused request is tried again after this long, when the servers may have been
-# repaired.
-RETENTION_S: Final = 600.0
-# The suspects with the latest crashes are kept.
+# A request is refused for this long after its first failed trial and after each
+# further one; the servers may have been repaired, or another request may have
+# crashed the server of the trial.
+TRIAL_DELAYS_S: Final = (120.0, 600.0)
+# Suspects without a further crash are forgotten after this long.
+RETENTION_S: Final = 900.0
+# Those with the most crashes are kept, and the latest among them.
 MAX_SUSPECTS: Final = 256
 FINGERPRINT_BYTES: Final = 12
 
 
+class Verdict(enum.Enum):
+    """How a request must be handled."""
+
+    CLEAN = "clean"
+    TRIAL = "trial"
+    REFUSE = "refuse"
+
+
 @dataclasses.dataclass(slots=True)
 class _Suspect:
     """A request and the crashes during which it was being processed.
 
     Attributes:
-      crashes: The attempt that was lost in each crash.
+      crashes: Times of the crashes.
       cleared: Crashes before the latest answer to the request.
     """
 
-    crashes: dict[CrashId, Attempt]
+    crashes: dict[CrashId, float]
     cleared: set[CrashId]
 
     @property
     def crashed_at(self) -> float:
-        return max(lost_at for _, lost_at in self.crashes.values())
+        return max(self.crashes.values())
 
     @property
-    def is_refused(self) -> bool:
-        """Whether enough attempts were lost one after the other.
+    def uncleared(self) -> set[CrashId]:
+        """Crashes that count against the request."""
+        return self.crashes.keys() - self.cleared
 
-        Copies of a harmless request may be lost at the same time when several
-        servers crash together.
-        """
-        count = 0
-        previous_lost_at = -math.inf
-        for began_at, lost_at in sorted(
-            (
-                attempt
-                for crash, attempt in self.crashes.items()
-                if crash not in self.cleared
-            ),
-            key=lambda attempt: attempt[1],
-        ):
-            if began_at >= previous_lost_at - MAX_TIME_DIFFERENCE_S:
-                count += 1
-                previous_lost_at = lost_at
-        return count >= CRASH_LIMIT
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether the request is run only as a trial, or refused."""
+        return len(self.uncleared) >= CRASH_LIMIT
+
+    @property
+    def refused_until(self) -> float:
+        """Time until which the request is refused after failed trials."""
+        failed_trials = sorted(
+            self.crashes[crash]
+            for crash in self.uncleared
+            if crash.startswith(TRIAL_PREFIX)
+        )
+        if not failed_trials:
+            return 0.0
+        number = min(len(failed_trials), len(TRIAL_DELAYS_S))
+        return failed_trials[-1] + TRIAL_DELAYS_S[number - 1]
 
 
 class SuspectTable:
@@ -94,48 +105,73 @@
     def count_refused(self, now: float) -> int:
         """Returns the number of suspects that are refused."""
         return sum(
-            self.read_refusal_s(fingerprint, now) > 0
+            self.classify(fingerprint, now) is Verdict.REFUSE
             for fingerprint in self._suspects
         )
 
     def record_crash(
         self,
         crash: CrashId,
-        lost: Mapping[Fingerprint, Attempt],
+        lost: Mapping[Fingerprint, float],
+        trial: Fingerprint | None,
         now: float,
     ) -> None:
-        """Records the requests that were being processed at a crash."""
-        for fingerprint, attempt in lost.items():
-            self._merge(fingerprint, {crash: attempt}, set())
+        """Records the requests that were being processed at a crash.
+
+        Args:
+          crash: Id of the crash.
+          lost: Times at which they were lost.
+          trial: The request among them that was run as a trial.
+          now: Current time.
+        """
+        for fingerprint, lost_at in lost.items():
+            crash_id = (
+                CrashId(TRIAL_PREFIX + crash) if fingerprint == trial else crash
+            )
+            self._merge(fingerprint, {crash_id: lost_at}, set())
         self._evict(now)
 
     def clear(self, fingerprint: Fingerprint) -> bool:
         """Records an answer to a request; returns whether it was a suspect."""
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or suspect.crashes.keys() <= suspect.cleared:
+        if suspect is None or not suspect.uncleared:
             return False
         suspect.cleared |= suspect.crashes.keys()
         return True
 
+    def classify(self, fingerprint: Fingerprint, now: float) -> Verdict:
+        """Returns how a request must be handled."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.is_quarantined:
+            return Verdict.CLEAN
+        if now < suspect.refused_until:
+            return Verdict.REFUSE
+        return Verdict.TRIAL
+
     def read_refusal_s(self, fingerprint: Fingerprint, now: float) -> float:
         """Returns for how many seconds a request is refused, 0 if it isn't."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or not suspect.is_refused:
+        if self.classify(fingerprint, now) is not Verdict.REFUSE:
             return 0.0
-        return max(0.0, suspect.crashed_at + RETENTION_S - now)
+        return self._suspects[fingerprint].refused_until - now
 
-    def encode(self, now: float) -> list[list[Any]]:
-        """Returns the suspects as plain values, with ages in seconds."""
+    def encode(
+        self, now: float, only_quarantined: bool = False
+    ) -> list[list[Any]]:
+        """Returns the suspects as plain values, with ages in seconds.
+
+        Nodes of earlier releases expect two ages of each crash.
+        """
         return [
             [
                 fingerprint,
                 [
-                    [crash, now - began_at, now - lost_at]
-                    for crash, (began_at, lost_at) in suspect.crashes.items()
+                    [crash, now - lost_at, now - lost_at]
+                    for crash, lost_at in suspect.crashes.items()
                 ],
                 sorted(suspect.cleared),
             ]
             for fingerprint, suspect in self._suspects.items()
+            if suspect.is_quarantined or not only_quarantined
         ]
 
     def merge(self, fields: Any, now: float) -> bool:
@@ -148,14 +184,11 @@
             (
                 Fingerprint(bytes(fingerprint)),
                 {
-                    CrashId(crash): (
-                        now - float(began_age_s),
-                        now - float(lost_age_s),
-                    )
-                    for crash, began_age_s, lost_age_s in crashes
+                    CrashId(str(crash)): now - max(0.0, float(lost_age_s))
+                    for crash, _, lost_age_s in crashes
                     if lost_age_s < RETENTION_S
                 },
-                set(cleared),
+                {CrashId(str(crash)) for crash in cleared},
             )
             for fingerprint, crashes, cleared in fields
         ]
@@ -170,7 +203,7 @@
     def _merge(
         self,
         fingerprint: Fingerprint,
-        crashes: dict[CrashId, Attempt],
+        crashes: dict[CrashId, float],
         cleared: set[CrashId],
     ) -> bool:
         known = self._suspects.get(fingerprint)
@@ -184,15 +217,18 @@
         return True
 
     def _evict(self, now: float) -> None:
-        latest = sorted(
+        kept = sorted(
             (
                 item
                 for item in self._suspects.items()
                 if now - item[1].crashed_at < RETENTION_S
             ),
-            key=lambda item: -item[1].crashed_at,
+            key=lambda item: (
+                -min(CRASH_LIMIT, len(item[1].uncleared)),
+                -item[1].crashed_at,
+            ),
         )
-        self._suspects = dict(itertools.islice(latest, MAX_SUSPECTS))
+        self._suspects = dict(itertools.islice(kept, MAX_SUSPECTS))
 
 
 def compute_fingerprint(call: calls.Call) -> Fingerprint:
@@ -212,25 +248,30 @@
     """
 
     def __init__(self) -> None:
-        self._lost: dict[Fingerprint, Attempt] = {}
+        self._lost: dict[Fingerprint, float] = {}
         self._crash_numbers = itertools.count(1)
 
     def __bool__(self) -> bool:
         return bool(self._lost)
 
-    def add(self, fingerprint: Fingerprint, attempt: Attempt) -> None:
-        """Adds a request without an answer."""
+    def add(self, fingerprint: Fingerprint, lost_at: float) -> None:
+        """Adds a request without an answer.
+
+        Args:
+          fingerprint: Identifies the request.
+          lost_at: Latest time at which the server may have been processing it.
+        """
         self._lost.pop(fingerprint, None)
-        self._lost[fingerprint] = attempt
+        self._lost[fingerprint] = lost_at
         if len(self._lost) > MAX_SUSPECTS:
             del self._lost[next(iter(self._lost))]
 
     def record_answer(self, sent_at: float) -> None:
         """Drops the requests that were lost before an answered one was sent."""
         self._lost = {
-            fingerprint: attempt
-            for fingerprint, attempt in self._lost.items()
-            if attempt[1] >= sent_at
+            fingerprint: lost_at
+            for fingerprint, lost_at in self._lost.items()
+            if lost_at >= sent_at
         }
 
     def clear(self) -> None:
@@ -239,7 +280,7 @@
 
     def take_crash(
         self, instance: str, started_ms: int
-    ) -> tuple[CrashId, dict[Fingerprint, Attempt]]:
+    ) -> tuple[CrashId, dict[Fingerprint, float]]:
         """Returns the crash of an instance, and the requests it was processing."""
         lost = self._lost
         self._lost = {}
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -7,6 +7,8 @@
 import platform_world
 import pytest
 
+from lycheestair.sidecar import clock
+
 CRASH = "/view/crash"
 # Arrivals later than this after the third crash are counted, see "BUDGET" in the
 # platform's rules.
@@ -159,3 +161,91 @@
             await assert_others_are_served(world.instances)
 
     run_scenario(scenario)
+
+
+def test_popular_request_lost_in_crashes_is_served_again_at_once():
+    """Guards against refusing harmless requests that ran on crashing servers."""
+
+    async def scenario():
+        async with run_world() as world:
+            CrashingServers(world.instances, crash_after_s=0.3)
+            popular = "/view/popular"
+
+            async def read_often():
+                tasks = []
+                while True:
+                    for instance in world.instances:
+                        tasks.append(
+                            asyncio.create_task(instance.request(popular))
+                        )
+                    await asyncio.sleep(0.02)
+
+            reading = asyncio.create_task(read_often())
+            await asyncio.sleep(0.5)
+            await send_everywhere(world.instances, copies=1)
+            await asyncio.sleep(1.5)
+            reading.cancel()
+            for instance in world.instances:
+                # Only the request that crashes servers may be refused.
+                table = instance.node._server.suspects
+                assert table.count_refused(clock.read_s()) <= 1
+            for instance in world.instances:
+                response = await instance.request(popular)
+                assert response.status == 200
+
+    run_scenario(scenario)
+
+
+def test_silent_server_counts_as_crashed():
+    """Guards against crashes that are known only when the servers are back."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk")) as world:
+            (instance,) = world.instances
+            server = instance.backend_server
+
+            async def fall_silent(request, stream):
+                await asyncio.sleep(5)
+
+            async def time_out(idempotent):
+                raise TimeoutError
+
+            server.handler_override = fall_silent
+            pool = instance.node._server._pool
+            attempts = iter([pool.check_out])
+
+            async def connect_once(idempotent):
+                return await next(attempts, time_out)(idempotent)
+
+            pool.check_out = connect_once
+            response = await instance.request(CRASH, deadline_ms=400)
+            assert response.status == 504
+            await platform_world.wait_for(
+                lambda: instance.node._server.crashes == 1
+            )
+            assert len(instance.node._server.suspects) == 1
+
+    run_scenario(scenario)
+
+
+def test_request_whose_clients_leave_before_the_crash_is_a_suspect():
+    """Guards against attempts that leave no trace when they are cancelled."""
+
+    async def scenario():
+        async with run_world() as world:
+            servers = CrashingServers(
+                world.instances, crash_after_s=0.6, back_after_s=0.8
+            )
+
+            async def leave_early(instance):
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(0.3):
+                        await instance.request(CRASH)
+
+            for _ in range(3):
+                for instance in world.instances:
+                    await leave_early(instance)
+                await asyncio.sleep(3.0)
+            assert servers.count_late_arrivals() <= MAX_LATE_ARRIVALS
+
+    run_scenario(scenario)
--- a/tests/test_platform_suspects.py
+++ b/tests/test_platform_suspects.py
@@ -6,16 +6,20 @@
 import pytest
 from test_platform_path import run_scenario
 
+from lycheestair.sidecar import members
 from lycheestair.sidecar import suspects as suspects_lib
+from lycheestair.sidecar import trials
 
 CRASH = b"/view/crash"
 REQUEST = suspects_lib.Fingerprint(b"request")
 
 
-def record_crash(table, number):
-    """Records a crash half a second after the request began."""
-    attempt = (float(number), number + 0.5)
-    table.record_crash(f"crash {number}", {REQUEST: attempt}, number + 0.5)
+def record_crash(table, number, is_trial=False):
+    """Records a crash, half a second after the number."""
+    at = number + 0.5
+    table.record_crash(
+        f"crash {number}", {REQUEST: at}, REQUEST if is_trial else None, at
+    )
 
 
 class CrashingServers:
@@ -116,16 +120,32 @@
     assert table.clear(REQUEST)
     assert not table.clear(REQUEST)
     record_crash(table, 8)
-    assert not table.read_refusal_s(REQUEST, 9.0)
+    assert table.classify(REQUEST, 9.0) is suspects_lib.Verdict.CLEAN
 
 
 def test_servers_that_crash_together_make_no_refusal():
     """Guards against refusing a request of which many copies are processed."""
     table = suspects_lib.SuspectTable()
     for number in range(8):
-        attempt = (1.0 + number / 10, 2.0 + number / 100)
-        table.record_crash(f"crash {number}", {REQUEST: attempt}, 3.0)
+        at = 2.0 + number / 100
+        table.record_crash(f"crash {number}", {REQUEST: at}, None, 3.0)
     assert not table.read_refusal_s(REQUEST, 3.0)
+    assert table.classify(REQUEST, 3.0) is suspects_lib.Verdict.TRIAL
+    assert table.clear(REQUEST)
+    assert table.classify(REQUEST, 3.0) is suspects_lib.Verdict.CLEAN
+
+
+def test_each_failed_trial_refuses_the_request_for_longer():
+    """Guards against a request that crashes a server whenever it comes again."""
+    table = suspects_lib.SuspectTable()
+    for number in range(suspects_lib.CRASH_LIMIT):
+        record_crash(table, number)
+    now = 10.0
+    for delay_s in (*suspects_lib.TRIAL_DELAYS_S, 600.0):
+        assert table.classify(REQUEST, now) is suspects_lib.Verdict.TRIAL
+        record_crash(table, now, is_trial=True)
+        assert table.read_refusal_s(REQUEST, now + 0.5) == delay_s
+        now += delay_s + 0.5
 
 
 @pytest.mark.parametrize("order", [1, -1])
@@ -138,11 +158,14 @@
     for table in tables[::order]:
         assert merged.merge(table.encode(3.0), 3.0)
         assert not merged.merge(table.encode(3.0), 3.0)
-    # The latest crash was at 2.5 s.
-    assert merged.read_refusal_s(REQUEST, 3.0) == pytest.approx(
-        suspects_lib.RETENTION_S - 0.5
-    )
-    assert not merged.read_refusal_s(REQUEST, 3.0 + suspects_lib.RETENTION_S)
+    # Together they know the third crash.
+    assert merged.classify(REQUEST, 3.0) is suspects_lib.Verdict.TRIAL
+    record_crash(tables[0], 3, is_trial=True)
+    assert merged.merge(tables[0].encode(4.0), 4.0)
+    # The failed trial was at 3.5 s.
+    refused_s = suspects_lib.TRIAL_DELAYS_S[0]
+    assert merged.read_refusal_s(REQUEST, 4.0) == pytest.approx(refused_s - 0.5)
+    assert not merged.read_refusal_s(REQUEST, 4.0 + refused_s)
 
 
 def test_number_of_suspects_is_bounded():
@@ -150,6 +173,56 @@
     table = suspects_lib.SuspectTable()
     for number in range(2 * suspects_lib.MAX_SUSPECTS):
         fingerprint = suspects_lib.Fingerprint(b"%d" % number)
-        attempt = (number + 0.1, number + 0.2)
-        table.record_crash(f"crash {number}", {fingerprint: attempt}, 0.0)
+        table.record_crash(
+            f"crash {number}", {fingerprint: number + 0.2}, None, 0.0
+        )
     assert len(table.encode(0.0)) == suspects_lib.MAX_SUSPECTS
+
+
+def test_requests_lost_beside_others_do_not_evict_a_refused_one():
+    """Guards against a request that is tried again when many others were lost."""
+    table = suspects_lib.SuspectTable()
+    for number in range(suspects_lib.CRASH_LIMIT):
+        record_crash(table, number)
+    record_crash(table, 5, is_trial=True)
+    for number in range(2 * suspects_lib.MAX_SUSPECTS):
+        fingerprint = suspects_lib.Fingerprint(b"%d" % number)
+        table.record_crash(f"later {number}", {fingerprint: 9.0}, None, 9.0)
+    assert table.classify(REQUEST, 9.0) is suspects_lib.Verdict.REFUSE
+
+
+def make_members(names):
+    return [
+        members.Member(members.NodeRecord(name, "h:1", "a", "north", 1))
+        for name in names
+    ]
+
+
+def test_nodes_select_the_same_tester_in_any_order():
+    """Guards against trials of a request at several servers at once."""
+    names = [f"n{number}" for number in range(20)]
+    for number in range(10):
+        fingerprint = suspects_lib.Fingerprint(b"%d" % number)
+        testers = {
+            trials.select_tester(
+                fingerprint, make_members(order)
+            ).record.node_id
+            for order in (names, names[::-1])
+        }
+        assert len(testers) == 1
+    assert trials.select_tester(REQUEST, []) is None
+
+
+def test_server_runs_one_trial_at_a_time():
+    """Guards against a crash in two trials, which tells nothing of either."""
+    slot = trials.TrialSlot()
+    other = suspects_lib.Fingerprint(b"other")
+    assert slot.begin(REQUEST, 1.0)
+    assert not slot.begin(REQUEST, 1.5)
+    assert not slot.begin(other, 1.5)
+    slot.end_if_lost()
+    assert slot.find_running(1.5) == REQUEST
+    slot.mark_lost()
+    slot.end_if_lost()
+    assert slot.begin(other, 2.0)
+    assert slot.begin(REQUEST, 2.0 + trials.MAX_TRIAL_S)
