Keep requests that crash servers in the store

What the nodes knew ended with their processes. The first feeder writes the suspects that are refused or under trial when they change (lycheestair-suspects/all), a node reads them before it asks the store for a configuration, and a restored store gets them again. Ruled out: a cell or a node that restarts learns them from the others (held before).

Remains: all nodes end while the store is away.

--- a/src/lycheestair/platform/documents.py
+++ b/src/lycheestair/platform/documents.py
@@ -15,6 +15,7 @@
     rollouts="rollouts",
     nodes="lycheestair-nodes",
     departures="lycheestair-departures",
+    suspects="lycheestair-suspects",
 )
 
 # The platform calls the rules for idempotent requests safe.
--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -20,6 +20,7 @@
 from lycheestair.sidecar import settings as settings_lib
 from lycheestair.sidecar import store as store_lib
 from lycheestair.sidecar import store_search
+from lycheestair.sidecar import suspect_records as suspect_records_lib
 from lycheestair.sidecar import versions as versions_lib
 
 # Durations of watches. A store that has fallen silent is only detected when a watch
@@ -72,6 +73,7 @@
         table: members.MemberTable,
         gossip: gossip_lib.Gossip,
         planner: versions_lib.VersionPlanner,
+        suspect_records: suspect_records_lib.SuspectRecords,
         log: event_log.EventLog,
     ):
         self._settings = settings
@@ -81,6 +83,7 @@
         self._table = table
         self._gossip = gossip
         self._planner = planner
+        self._suspect_records = suspect_records
         self._log = log
         self._record_revisions: dict[str, revisions.Revision] = {}
         # Reachable nodes whose records the store lacks.
@@ -276,6 +279,8 @@
                     current.revision,
                 )
         self._set_store_available(True)
+        # Before a configuration, with which this node serves requests.
+        await self._suspect_records.restore()
         listing = await self._store.list(self._kinds.nodes)
         self._apply_node_listing(listing.items)
         if len(self._table) > 1:
@@ -433,6 +438,7 @@
     def _apply_node_listing(self, items: list[store_lib.StoredItem]) -> None:
         """Applies all records; a restored store may lack those of some nodes."""
         self._record_revisions.clear()
+        self._suspect_records.forget_written()
         self._apply_node_records(items)
         self._unrecorded = {
             member.record.node_id
@@ -474,6 +480,7 @@
                 for report in self._planner.list_rollouts():
                     await self._update_rollout_status(report)
                 await self._write_missing_records()
+                await self._suspect_records.write_changes()
                 await self._remove_stale_records()
             except store_lib.StoreUnavailableError as error:
                 self._set_store_available(False, str(error))
--- a/src/lycheestair/sidecar/node.py
+++ b/src/lycheestair/sidecar/node.py
@@ -26,6 +26,7 @@
 from lycheestair.sidecar import settings as settings_lib
 from lycheestair.sidecar import store as store_lib
 from lycheestair.sidecar import streams
+from lycheestair.sidecar import suspect_records
 from lycheestair.sidecar import versions
 
 # The node keeps listening for this long after SIGTERM. Readiness is checked
@@ -144,6 +145,13 @@
             self._table,
             self._gossip,
             self._planner,
+            suspect_records.SuspectRecords(
+                store,
+                platform.kinds,
+                self._server.suspects,
+                self._gossip.publish_suspects,
+                self._log,
+            ),
             self._log,
         )
 
--- a/src/lycheestair/sidecar/store.py
+++ b/src/lycheestair/sidecar/store.py
@@ -69,6 +69,7 @@
     rollouts: str
     nodes: str
     departures: str
+    suspects: str
 
 
 class MetadataStore(Protocol):
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -249,3 +249,43 @@
             assert servers.count_late_arrivals() <= MAX_LATE_ARRIVALS
 
     run_scenario(scenario)
+
+
+def test_suspects_outlive_an_absence_of_the_store():
+    """Guards against suspects that are written only while they change."""
+
+    async def scenario():
+        async with run_world() as world:
+            servers = CrashingServers(world.instances)
+            world.store.faults.down = True
+            await send_everywhere(world.instances)
+            await asyncio.sleep(1.6)
+            world.store.faults.down = False
+            await platform_world.wait_for(
+                lambda: ("lycheestair-suspects", "all") in world.store.objects
+            )
+            world.store.restore(
+                (
+                    world.store.revision - 1,
+                    {
+                        key: value
+                        for key, value in world.store.objects.items()
+                        if key[0] != "lycheestair-suspects"
+                    },
+                )
+            )
+            await platform_world.wait_for(
+                lambda: ("lycheestair-suspects", "all") in world.store.objects
+            )
+            crashes = len(servers.crashes)
+            assert crashes >= 3
+            for instance in world.instances:
+                instance.node.stop()
+            for instance in world.instances:
+                await instance.start_node()
+            await world.wait_ready()
+            await send_everywhere(world.instances)
+            await asyncio.sleep(0.5)
+            assert len(servers.crashes) <= crashes + 1
+
+    run_scenario(scenario)
