Send a suspected request to the same server from all nodes of the product

A suspect ran alone on its server, but on every server at the same time, and copies of it in flight made the crash count as not alone, so that it was never refused. All nodes now choose the same endpoint for a suspect, by a hash, and try it once; copies of one request count as one, and requests lost to the previous process of a server don't count in its next crash.

--- a/src/lycheestair/endpoints.py
+++ b/src/lycheestair/endpoints.py
@@ -4,11 +4,14 @@
 from collections.abc import Collection
 from collections.abc import Mapping
 import dataclasses
+import itertools
 import random
 import threading
 import time
 from typing import Final
 
+import xxhash
+
 from lycheestair import errors
 from lycheestair import ids
 from lycheestair import members
@@ -218,6 +221,36 @@
             else None
         )
 
+    def choose_tester(
+        self,
+        service: ids.ServiceName,
+        version: ids.VersionName,
+        fingerprint: str,
+        excluded: Collection[ids.NodeId] = (),
+    ) -> Target | None:
+        """Returns the endpoint that all nodes choose for a suspected request.
+
+        The request counts as in flight there until `report` is called. Returns
+        None if there is no endpoint or all are excluded.
+        """
+        candidates = [
+            target
+            for target in itertools.chain.from_iterable(
+                self._tiers.get((service, version), ())
+            )
+            if target.node_id not in excluded
+        ]
+        if not candidates:
+            return None
+        return self._add_request(
+            min(
+                candidates,
+                key=lambda target: xxhash.xxh3_64_intdigest(
+                    f"{fingerprint}\n{target.node_id}".encode()
+                ),
+            )
+        )
+
     def _compute_load(self, target: Target) -> float:
         """Returns the requests per slot that the local node knows of."""
         count = target.in_flight
--- a/src/lycheestair/proxy.py
+++ b/src/lycheestair/proxy.py
@@ -186,8 +186,12 @@
         unbudgeted_retries = 0
         last_outcome: Outcome | None = None
         while True:
+            verdict = self._suspects.classify(call)
+            if verdict is suspects_lib.Verdict.REFUSE:
+                return last_outcome or errors.Failure(errors.ErrorKind.SUSPECT)
+            is_trial = verdict is suspects_lib.Verdict.RUN_ALONE
             target = self._choose_target(
-                call, entry, tried_nodes, failed_versions
+                call, entry, tried_nodes, failed_versions, is_trial
             )
             if target is None:
                 return last_outcome or errors.Failure(
@@ -195,7 +199,7 @@
                 )
             outcome = self._attempt(call, target)
             last_outcome = _select_outcome(last_outcome, outcome)
-            if not self._may_retry(call, entry, outcome):
+            if is_trial or not self._may_retry(call, entry, outcome):
                 return last_outcome
             kind = None
             at_limit = False
@@ -240,6 +244,7 @@
         entry: routing.RouteEntry,
         tried: set[ids.NodeId],
         failed: set[ids.VersionName],
+        is_trial: bool,
     ) -> endpoints.Target | None:
         """Chooses a version and one of its endpoints.
 
@@ -252,6 +257,8 @@
           entry: Route of the request.
           tried: Nodes that must not be chosen again.
           failed: Versions that responded with a server error.
+          is_trial: Whether the request may have crashed a backend server, so
+            that all nodes must choose the same endpoint.
         """
         excluded = frozenset(failed)
         while True:
@@ -262,7 +269,14 @@
                 version = self._version_chooser.choose(entry, excluded)
             if version is None:
                 return None
-            target = self._endpoint_table.choose(call.service, version, tried)
+            if is_trial:
+                target = self._endpoint_table.choose_tester(
+                    call.service, version, call.fingerprint(), tried
+                )
+            else:
+                target = self._endpoint_table.choose(
+                    call.service, version, tried
+                )
             if target is not None:
                 call.version = version
                 return target
--- a/src/lycheestair/serving.py
+++ b/src/lycheestair/serving.py
@@ -90,6 +90,8 @@
             if server == self._server or self._leaving:
                 return
             self._server = server
+            # They belong to a crash of the previous process.
+            self._lost_calls.clear()
             self._started_at = time.time()
             self.admission.open(server.slots)
             self.admission.start_trial()
--- a/src/lycheestair/suspects.py
+++ b/src/lycheestair/suspects.py
@@ -1,11 +1,11 @@
 """Requests that were in flight when backend servers crashed.
 
-All requests in flight at a crash become suspects. A suspect runs alone on its
-backend server, so that another crash can be attributed to it. It is refused
-once it reaches the crash limit, provided that it was the only request in
-flight at one of the crashes; a response while it runs alone clears it. A
-suspect's crashes and cleared crashes are grow-only sets until it expires, so
-nodes can merge suspects in any order.
+All requests in flight at a crash become suspects. All nodes send a suspect to the
+same backend server, where it runs alone, so that another crash can be attributed to
+it. It is refused once it reaches the crash limit, provided that it was the only
+request in flight at one of the crashes; a response while it runs alone clears it. A
+suspect's crashes and cleared crashes are grow-only sets until it expires, so nodes can
+merge suspects in any order.
 """
 
 from collections.abc import Callable
@@ -39,7 +39,7 @@
     """A crash of a backend server.
 
     Attributes:
-      alone: Whether the request was the only one in flight.
+      alone: Whether the request, or copies of it, was the only one in flight.
       at: Unix time in seconds.
     """
 
@@ -140,9 +140,9 @@
     def record_crash(self, in_flight: Sequence[calls.Call]) -> None:
         """Marks the calls that were in flight at a crash as suspects."""
         now = time.time()
-        crash = Crash(
-            f"{self._node_id}/{time.time_ns()}", len(in_flight) == 1, now
-        )
+        # Copies of the same request tell the same.
+        alone = len({call.fingerprint() for call in in_flight}) == 1
+        crash = Crash(f"{self._node_id}/{time.time_ns()}", alone, now)
         suspects = {
             suspect.fingerprint: suspect
             for suspect in (
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -1,5 +1,10 @@
 """Guards against a request that crashes many backend servers."""
 
+from concurrent import futures
+import threading
+import time
+
+import pytest
 import request_support as support
 
 from lycheestair import control
@@ -129,3 +134,78 @@
         exchange.stop()
         channels.close()
         server.stop(0)
+
+
+class CrashingServers:
+    """Backend servers that crash when they have run a certain request.
+
+    Attributes:
+      crashes: Nodes whose server crashed, in this order.
+    """
+
+    def __init__(self, nodes):
+        self.nodes = nodes
+        self.crashes = []
+        self._lock = threading.Lock()
+        for node in nodes:
+            self.start(node)
+
+    def start(self, node):
+        """Starts the server of a node, also after a crash."""
+        server = None
+
+        def respond(request):
+            if b"bad" not in request.body:
+                time.sleep(0.5 * request.body.count(b"slow"))
+                return support.make_response(request)
+            time.sleep(0.1)
+            with self._lock:
+                if node.server is server:
+                    self.crashes.append(node)
+                    node.server = None
+            server.close()
+            return None
+
+        node.serve(respond)
+        server = node.server
+
+    def restart_crashed(self):
+        for node in self.nodes:
+            if node.server is None:
+                self.start(node)
+
+    def send_everywhere(self, copies, others=0):
+        """Sends the request to all nodes at once; returns the error kinds.
+
+        Before it, each node gets a number of other requests.
+        """
+        with futures.ThreadPoolExecutor(3 * len(self.nodes)) as pool:
+            for node in self.nodes * others:
+                pool.submit(support.call, node.caller, "POST", "/write", "slow")
+            time.sleep(0.1 * others)
+            responses = pool.map(
+                lambda node: support.call(node.caller, "POST", "/read", "bad"),
+                self.nodes * copies,
+            )
+        return {support.read_error(response)[0] for response in responses}
+
+
+@pytest.mark.parametrize("others", [0, 1])
+def test_request_sent_to_all_nodes_at_once_ends_few_servers(others):
+    """Guards against trials of a request at all servers at the same time."""
+    with support.Cluster(["a1", "a1", "a2", "b1", "b1"]) as cluster:
+        tables = [node.data_plane.suspects for node in cluster.nodes]
+        for table in tables:
+            table.on_change = lambda changed: [t.merge(changed) for t in tables]
+        servers = CrashingServers(cluster.nodes)
+        servers.send_everywhere(copies=2, others=others)
+        first_crashes = len(servers.crashes)
+        for _ in range(3):
+            servers.restart_crashed()
+            kinds = servers.send_everywhere(copies=2)
+        assert len(servers.crashes) - first_crashes <= 3
+        assert kinds == {"suspect"}
+        servers.restart_crashed()
+        for node in cluster.nodes:
+            good = support.call(node.caller, "POST", "/read", "good")
+            assert (good.status, good.data) == (200, b"good")
