Run no trial at a node that knows a better tester

Nodes of other cells learn up to a second later that a server is back, so that two or three servers could be taken for the tester (seen once: two trials at the same moment, real processes, popular reads beside). All candidates of one region rank first, whose nodes know each other's state at once, and a node refuses a trial that it would send elsewhere. An entry node refused a suspect while its own server ran another trial, found by reading; its test fails before. The fingerprint of a call is computed once.

--- a/src/lycheestair/sidecar/balancer.py
+++ b/src/lycheestair/sidecar/balancer.py
@@ -82,7 +82,7 @@
         allowed = {
             version: share
             for version, share in shares.items()
-            if share and any(self._iterate_usable(call.service, version))
+            if share and any(self.iterate_usable(call.service, version))
         }
         if not allowed:
             return None
@@ -115,7 +115,7 @@
             if not shares[version]:
                 break
             member = trials.select_tester(
-                fingerprint, self._iterate_usable(call.service, version)
+                fingerprint, self.iterate_usable(call.service, version)
             )
             if member is not None and member.endpoint is not None:
                 call.instance = member.endpoint.instance
@@ -123,6 +123,16 @@
                 return member
         return None
 
+    def is_tester(self, fingerprint: suspects.Fingerprint) -> bool:
+        """Returns whether this node would select itself for a trial."""
+        own = self._table.own
+        if own.endpoint is None:
+            return False
+        candidates = self.iterate_usable(
+            own.endpoint.service, own.endpoint.version
+        )
+        return trials.select_tester(fingerprint, candidates) is own
+
     def _choose_version(
         self, shares: dict[ids.VersionName, float]
     ) -> ids.VersionName:
@@ -130,9 +140,10 @@
             return next(iter(shares))
         return self._generator.choices(list(shares), list(shares.values()))[0]
 
-    def _iterate_usable(
+    def iterate_usable(
         self, service: ids.ServiceName, version: ids.VersionName
     ) -> Iterator[members.Member]:
+        """Returns the members that may get requests for a version."""
         return (
             member
             for member in self._table.list_serving(service, version)
--- a/src/lycheestair/sidecar/calls.py
+++ b/src/lycheestair/sidecar/calls.py
@@ -34,6 +34,7 @@
       caller: Service of the entry node's local backend server.
       max_wait_s: Expected time in the queue beyond which the entry node
         prefers another backend server; None if it accepts any.
+      fingerprint: Set by `suspects.compute_fingerprint`; empty before.
     """
 
     request_id: bytes
@@ -52,6 +53,7 @@
     own: bool = False
     is_retry: bool = False
     max_wait_s: float | None = None
+    fingerprint: bytes = b""
 
     @property
     def remaining_s(self) -> float:
--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -88,6 +88,7 @@
         self._table = table
         self._gossip = gossip
         self._balancer = balancer.Balancer(table, planner, random.Random())
+        server.is_tester = self._balancer.is_tester
         self._splits = splits.SplitSelector()
         self._serving_node = server
         self._shutdown = shutdown
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -86,6 +86,7 @@
       suspects: Requests that crash backend servers.
       on_suspects_change: Called when this node has changed them.
       crashes: Crashes of the backend server while it ran requests.
+      is_tester: Returns whether this node runs the trials of a request.
       sent_requests: Requests sent to the backend server.
       sent_retries: Retries among them.
     """
@@ -112,6 +113,9 @@
         self.crashes = 0
         self._losses = suspects_lib.LossTracker()
         self._trial = trials.TrialSlot()
+        self.is_tester: Callable[[suspects_lib.Fingerprint], bool] = (
+            lambda fingerprint: True
+        )
         self._crash_check: asyncio.Task[None] | None = None
         self.sent_requests = 0
         self.sent_retries = 0
@@ -379,13 +383,13 @@
             return calls.Refusal(
                 errors.ErrorKind.DRAINING, "not the endpoint asked for"
             )
-        refusal = self.refuse_suspect(call) or await self.admission.acquire(
+        refusal = self._refuse_untried(call) or await self.admission.acquire(
             call
         )
         if refusal is not None:
             return refusal
         # The call may have become a suspect while it was waiting.
-        refusal = self.refuse_suspect(call, begin_trial=True)
+        refusal = self._refuse_untried(call) or self._begin_trial(call)
         if refusal is not None:
             self.admission.release(call, False)
             return refusal
@@ -403,36 +407,36 @@
             suspects_lib.compute_fingerprint(call), clock.read_s()
         )
 
-    def refuse_suspect(
-        self, call: calls.Call, begin_trial: bool = False
-    ) -> calls.Refusal | None:
-        """Returns the refusal of a request that crashes servers, else None.
-
-        Args:
-          call: The call with the request.
-          begin_trial: Whether the request runs now unless it is refused.
-        """
-        if not self.suspects:
+    def refuse_suspect(self, call: calls.Call) -> calls.Refusal | None:
+        """Returns the refusal of a request that crashes servers, else None."""
+        if self.classify(call) is not suspects_lib.Verdict.REFUSE:
             return None
-        now = clock.read_s()
         fingerprint = suspects_lib.compute_fingerprint(call)
-        verdict = self.suspects.classify(fingerprint, now)
-        if verdict is suspects_lib.Verdict.CLEAN:
-            return None
-        if verdict is suspects_lib.Verdict.REFUSE:
-            retry_after_s = self.suspects.read_refusal_s(fingerprint, now)
-        elif begin_trial and self._trial.begin(fingerprint, now):
-            self._log.write("trial begun", fingerprint=fingerprint.hex())
+        return _create_suspect_refusal(
+            fingerprint,
+            self.suspects.read_refusal_s(fingerprint, clock.read_s()),
+        )
+
+    def _refuse_untried(self, call: calls.Call) -> calls.Refusal | None:
+        """Also refuses a suspect whose trial can't begin at this node now."""
+        if self.classify(call) is not suspects_lib.Verdict.TRIAL:
+            return self.refuse_suspect(call)
+        fingerprint = suspects_lib.compute_fingerprint(call)
+        if self._trial.find_running(clock.read_s()) is None and self.is_tester(
+            fingerprint
+        ):
             return None
-        elif not begin_trial and self._trial.find_running(now) is None:
+        return _create_suspect_refusal(fingerprint, trials.RETRY_AFTER_S)
+
+    def _begin_trial(self, call: calls.Call) -> calls.Refusal | None:
+        """Begins the trial of a call that is a suspect."""
+        if self.classify(call) is not suspects_lib.Verdict.TRIAL:
             return None
-        else:
-            retry_after_s = trials.RETRY_AFTER_S
-        return calls.Refusal(
-            errors.ErrorKind.SUSPECT,
-            f"request {fingerprint.hex()}",
-            retry_after_s=retry_after_s,
-        )
+        fingerprint = suspects_lib.compute_fingerprint(call)
+        if not self._trial.begin(fingerprint, clock.read_s()):
+            return _create_suspect_refusal(fingerprint, trials.RETRY_AFTER_S)
+        self._log.write("trial begun", fingerprint=fingerprint.hex())
+        return None
 
     def _update_suspects(
         self, call: calls.Call, outcome: calls.Outcome, started_at: float
@@ -798,6 +802,16 @@
         )
 
 
+def _create_suspect_refusal(
+    fingerprint: suspects_lib.Fingerprint, retry_after_s: float
+) -> calls.Refusal:
+    return calls.Refusal(
+        errors.ErrorKind.SUSPECT,
+        f"request {fingerprint.hex()}",
+        retry_after_s=retry_after_s,
+    )
+
+
 def _is_superseded(
     known: backend.Announcement, announcement: backend.Announcement
 ) -> bool:
--- a/src/lycheestair/sidecar/suspects.py
+++ b/src/lycheestair/sidecar/suspects.py
@@ -233,10 +233,12 @@
 
 def compute_fingerprint(call: calls.Call) -> Fingerprint:
     """Returns what all attempts of the same request have in common."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (call.method, call.target, call.caller.encode(), call.body):
-        digest.update(len(part).to_bytes(4, "big") + part)
-    return Fingerprint(digest.digest())
+    if not call.fingerprint:
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for part in (call.method, call.target, call.caller.encode(), call.body):
+            digest.update(len(part).to_bytes(4, "big") + part)
+        call.fingerprint = digest.digest()
+    return Fingerprint(call.fingerprint)
 
 
 class LossTracker:
--- a/src/lycheestair/sidecar/trials.py
+++ b/src/lycheestair/sidecar/trials.py
@@ -2,7 +2,9 @@
 
 Answers copies of the same request that come at many nodes at once: all nodes send a
 request under trial to the same backend server, and its node runs one trial at a time.
-A crash then has one cause, and no second server is lost to the same request.
+A crash then has one cause, and no second server is lost to the same request. Nodes of
+other cells learn of a server's end later than those of its own cell. Therefore all
+candidates of one region rank first, and a node runs no trial if it knows a better one.
 """
 
 from collections.abc import Iterable
@@ -16,6 +18,7 @@
 MAX_TRIAL_S: Final = 10.0
 # Retry-After of a request that is refused because of a trial in progress.
 RETRY_AFTER_S: Final = 0.5
+HASH_BYTES: Final = 8
 
 
 def select_tester(
@@ -23,14 +26,21 @@
 ) -> members.Member | None:
     """Returns the member that all nodes select for the trials of a request."""
 
-    def compute_rank(member: members.Member) -> bytes:
-        return hashlib.blake2b(
-            fingerprint + member.record.node_id.encode(), digest_size=8
-        ).digest()
+    def compute_rank(member: members.Member) -> tuple[bytes, bytes]:
+        record = member.record
+        return _hash(fingerprint, record.region), _hash(
+            fingerprint, record.node_id
+        )
 
     return min(candidates, key=compute_rank, default=None)
 
 
+def _hash(fingerprint: suspects.Fingerprint, name: str) -> bytes:
+    return hashlib.blake2b(
+        fingerprint + name.encode(), digest_size=HASH_BYTES
+    ).digest()
+
+
 class TrialSlot:
     """The trial that a backend server is running; times are `clock.read_s`."""
 
--- a/tests/test_platform_suspects.py
+++ b/tests/test_platform_suspects.py
@@ -1,11 +1,16 @@
 """Requests that crash backend servers: found, shared, refused, forgotten."""
 
 import asyncio
+import dataclasses
+import itertools
 
 import platform_world
 import pytest
 from test_platform_path import run_scenario
 
+from lycheestair import errors
+from lycheestair.sidecar import calls
+from lycheestair.sidecar import clock
 from lycheestair.sidecar import members
 from lycheestair.sidecar import suspects as suspects_lib
 from lycheestair.sidecar import trials
@@ -14,6 +19,25 @@
 REQUEST = suspects_lib.Fingerprint(b"request")
 
 
+def make_call(target):
+    now = clock.read_s()
+    return calls.Call(
+        request_id=b"1",
+        method=b"GET",
+        target=target,
+        headers=[(b"host", b"shop.example")],
+        body=b"",
+        caller="desk",
+        route="view",
+        instance="",
+        idempotent=True,
+        priority=1,
+        deadline=now + 1.0,
+        objective=now + 0.5,
+        service="desk",
+    )
+
+
 def record_crash(table, number, is_trial=False):
     """Records a crash, half a second after the number."""
     at = number + 0.5
@@ -191,9 +215,9 @@
     assert table.classify(REQUEST, 9.0) is suspects_lib.Verdict.REFUSE
 
 
-def make_members(names):
+def make_members(names, region="north"):
     return [
-        members.Member(members.NodeRecord(name, "h:1", "a", "north", 1))
+        members.Member(members.NodeRecord(name, "h:1", "a", region, 1))
         for name in names
     ]
 
@@ -213,6 +237,81 @@
     assert trials.select_tester(REQUEST, []) is None
 
 
+def test_candidates_of_one_region_rank_before_all_others():
+    """Guards against two testers while other cells don't know of an end yet."""
+    candidates = [
+        member
+        for region in ("north", "south", "west")
+        for member in make_members([f"{region}{n}" for n in range(4)], region)
+    ]
+    for number in range(10):
+        fingerprint = suspects_lib.Fingerprint(b"%d" % number)
+        left = list(candidates)
+        regions = []
+        while left:
+            tester = trials.select_tester(fingerprint, left)
+            regions.append(tester.record.region)
+            left.remove(tester)
+        assert [r for r, _ in itertools.groupby(regions)] == regions[::4]
+
+
+def test_server_that_is_not_the_tester_refuses_a_trial():
+    """Guards against a trial at each server that some node takes for the tester."""
+
+    async def scenario():
+        names = [(f"n{number}", "desk") for number in range(3)]
+        async with platform_world.run(*names) as world:
+            first = world.instances[0].node
+            call = make_call(b"/view/7")
+            fingerprint = suspects_lib.compute_fingerprint(call)
+            now = clock.read_s()
+            for number in range(suspects_lib.CRASH_LIMIT):
+                first._server.suspects.record_crash(
+                    f"{number}", {fingerprint: now}, None, now
+                )
+            first._gossip.publish_suspects()
+            await asyncio.sleep(0.2)
+            outcomes = {}
+            for instance in world.instances:
+                call.instance = f"i-{instance.name}"
+                call.deadline = clock.read_s() + 1.0
+                balancer = instance.node._entry_node._balancer
+                is_tester = balancer.is_tester(fingerprint)
+                outcome = await instance.node._server.run(call)
+                outcomes[is_tester] = outcome
+                if is_tester:
+                    break
+            assert outcomes[True].status == 200
+            if False in outcomes:
+                assert outcomes[False].kind is errors.ErrorKind.SUSPECT
+                assert outcomes[False].not_executed
+
+    run_scenario(scenario)
+
+
+def test_node_whose_server_runs_a_trial_sends_other_requests_on():
+    """Guards against an entry node that refuses what another server may try."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk"), ("n2", "desk")) as world:
+            node = world.instances[0].node
+            now = clock.read_s()
+            node._server._trial.begin(REQUEST, now)
+            call = make_call(b"/view/7")
+            fingerprint = suspects_lib.compute_fingerprint(call)
+            for number in range(suspects_lib.CRASH_LIMIT):
+                node._server.suspects.record_crash(
+                    f"{number}", {fingerprint: now}, None, now
+                )
+            assert node._server.refuse_suspect(call) is None
+            refusal = await node._server.run(
+                dataclasses.replace(call, instance="i-n1")
+            )
+            assert refusal.kind is errors.ErrorKind.SUSPECT
+
+    run_scenario(scenario)
+
+
 def test_server_runs_one_trial_at_a_time():
     """Guards against a crash in two trials, which tells nothing of either."""
     slot = trials.TrialSlot()
