Keep refused requests of the product's nodes in the store

All nodes of the product forgot at a restart which requests crash backend servers, as those on the platform did: gossip is the only copy. The tests can't run without the new module; before it nothing of the product wrote suspects outside its memory.

--- a/src/lycheestair/node.py
+++ b/src/lycheestair/node.py
@@ -29,6 +29,7 @@
 from lycheestair import snapshot as snapshot_lib
 from lycheestair import store as store_lib
 from lycheestair import suspect_exchange
+from lycheestair import suspect_records
 from lycheestair import telemetry
 from lycheestair import voting
 
@@ -113,6 +114,9 @@
             self._channels,
             self.membership,
         )
+        self._suspect_records = suspect_records.SuspectRecords(
+            self._store, self._data_plane.suspects, self.membership
+        )
         # Subscribes after all other components, so that a snapshot that one of
         # them rejects is not logged.
         self.configuration.subscribe(_log_activation)
@@ -161,9 +165,11 @@
         self.membership.start()
         if not self._distributor.boot():
             logging.warning("could reach neither a peer nor the store at start")
+        self._suspect_records.restore()
         self._distributor.start()
         self._evidence_exchange.start()
         self._suspect_exchange.start()
+        self._suspect_records.start()
         self._guard.start()
         self._shard_joiner.start()
         self._controller.start()
@@ -187,6 +193,7 @@
             self._guard,
             self._evidence_exchange,
             self._suspect_exchange,
+            self._suspect_records,
             self._distributor,
             self.membership,
             self._data_plane,
--- a/src/lycheestair/suspects.py
+++ b/src/lycheestair/suspects.py
@@ -137,6 +137,10 @@
             return Verdict.REFUSE
         return Verdict.RUN_ALONE
 
+    def is_refused(self, suspect: Suspect) -> bool:
+        """Returns whether further attempts of a suspect are refused."""
+        return self._classify(suspect) is Verdict.REFUSE
+
     def record_crash(self, in_flight: Sequence[calls.Call]) -> None:
         """Marks the calls that were in flight at a crash as suspects."""
         now = time.time()
@@ -236,7 +240,7 @@
                 method=suspect.method,
                 route=suspect.route,
                 crashes=len(suspect.uncleared_crashes),
-                refused=self._classify(suspect) is Verdict.REFUSE,
+                refused=self.is_refused(suspect),
                 expires_at=suspect.last_crash_at + self._retention_s,
             )
             for suspect in self.read_all()
