Play crashing requests and a store that turns nodes away in the soak

Waves of a request that crashes servers come at all nodes, and the store serves one node alone while the configuration changes, beside the other faults; a check counts late arrivals from undisturbed nodes.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -65,6 +65,14 @@
 LIMIT_SPAN_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
+# A request that crashes the backend servers that run it reaches at most this many
+# later than CRASHES_KNOWN_S after its third crash, from nodes that were not disturbed.
+CRASHING_TARGET = b"/view/crash"
+CRASHES_KNOWN_S = 3.0
+MAX_LATE_ARRIVALS = 3
+# The store knows the crashes this long after the last of them, or after its last
+# fault.
+STORE_KNOWS_S = 3.0
 MAX_RSS_MB = 80.0
 MAX_DESCRIPTORS = 300
 CLIENTS_PER_NODE = 3
@@ -99,6 +107,32 @@
     end: float
 
 
+class CrashingRequest:
+    """What is known of the request that crashes backend servers."""
+
+    def __init__(self):
+        self.crashes = []
+        # Time and entry node of each arrival.
+        self.arrivals = []
+        self.entry_nodes = {}
+
+    def forget(self):
+        """Begins anew, when all nodes ended while the store was away."""
+        self.crashes.clear()
+        self.arrivals.clear()
+
+    def list_late_arrivals(self, by_name):
+        """Returns the arrivals at which all nodes had to know the crashes."""
+        if len(self.crashes) < MAX_LATE_ARRIVALS:
+            return []
+        known_at = sorted(self.crashes)[2] + CRASHES_KNOWN_S
+        return [
+            (at, node)
+            for at, node in self.arrivals
+            if at > known_at and by_name[node].is_undisturbed(at, at)
+        ]
+
+
 class FaultyBackendServer(standins.BackendServer):
     """Backend server that injects faults and reports each run to the soak."""
 
@@ -113,6 +147,9 @@
 
     async def _run_with_fault(self, request, stream):
         request_id = request.find_header(b"x-request-id")
+        if request.target == CRASHING_TARGET:
+            await self._crash(request_id)
+            return
         self.arrivals.append((time.monotonic(), request_id))
         if self.fault == "shed" and self.soak.rng.random() < 0.5:
             stream.write(
@@ -136,6 +173,21 @@
             stream.write(data)
         stream.write(data)
 
+    async def _crash(self, request_id):
+        crashing = self.soak.crashing_request
+        crashing.arrivals.append(
+            (time.monotonic(), crashing.entry_nodes[request_id])
+        )
+        await asyncio.sleep(self.soak.crash_rng.uniform(0.02, 0.4))
+        if self.is_down or self.soak.closing:
+            return
+        crashing.crashes.append(time.monotonic())
+        self.crash()
+        await asyncio.sleep(self.soak.crash_rng.uniform(0.5, 2.5))
+        self.started_ms = int(time.time() * 1000)
+        self._sequence = 0
+        await self.start()
+
 
 class Instance(platform_world.Instance):
     """An instance whose node runs as a process."""
@@ -212,6 +264,9 @@
 
     async def send_heartbeats(self):
         while True:
+            if self.backend_server.is_down:
+                await asyncio.sleep(0.05)
+                continue
             try:
                 async with asyncio.timeout(1.0):
                     status = await self.backend_server.announce()
@@ -258,6 +313,9 @@
         # Draws of its own, so that seeds keep their other faults.
         self.limit_rng = random.Random(f"limits {seed}")
         self.limited_times = []
+        self.crash_rng = random.Random(f"crashes {seed}")
+        self.crashing_request = CrashingRequest()
+        self.store_faulty_at = 0.0
         self.seconds = seconds
         self.folder = folder
         self.store = standins.PlatformStore(platform_world.allocate_address())
@@ -302,9 +360,16 @@
                 for instance in self.instances
                 for _ in range(CLIENTS_PER_NODE)
             ]
-            limits = asyncio.create_task(self._limit_backend_servers())
+            others = [
+                asyncio.create_task(work())
+                for work in (
+                    self._limit_backend_servers,
+                    self._send_crashing_requests,
+                    self._turn_most_nodes_away,
+                )
+            ]
             await self._inject_faults()
-            await limits
+            await asyncio.gather(*others)
             await self._wait_until_serving(RECOVERY_S)
             self.closing = True
             await asyncio.gather(*clients)
@@ -370,6 +435,11 @@
         instance.process.kill()
 
     async def _kill_all(self):
+        now = time.monotonic()
+        if now - max([self.store_faulty_at, *self.crashing_request.crashes]) < (
+            STORE_KNOWS_S
+        ):
+            self.crashing_request.forget()
         for instance in self.instances:
             instance.record_disturbance()
             instance.exit_expected = True
@@ -422,8 +492,10 @@
             self.store.compact()
             return
         setattr(self.store.faults, kind, True)
+        self.store_faulty_at = float("inf")
         await asyncio.sleep(self.rng.uniform(0.3, 3.0))
         setattr(self.store.faults, kind, False)
+        self.store_faulty_at = time.monotonic()
 
     async def _inject_backend_server_fault(self):
         backend_server = self._pick_instance().backend_server
@@ -441,6 +513,52 @@
     async def _change_config(self):
         self._write_config()
 
+    async def _send_crashing_requests(self):
+        """Sends the crashing request to all nodes at once, in waves."""
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.crash_rng.uniform(1.5, 3.5))
+            async with asyncio.TaskGroup() as group:
+                for instance in self.instances:
+                    for _ in range(self.crash_rng.randint(1, 2)):
+                        group.create_task(self._send_crashing(instance))
+
+    async def _send_crashing(self, instance):
+        request_id = platform_world.make_id()
+        self.crashing_request.entry_nodes[request_id] = instance.name
+        await asyncio.sleep(self.crash_rng.uniform(0.0, 0.5))
+        with contextlib.suppress(
+            OSError,
+            messages.IncompleteMessageError,
+            messages.MalformedMessageError,
+        ):
+            await standins.send(
+                instance.outbound,
+                b"GET",
+                CRASHING_TARGET,
+                [
+                    (b"host", b"shop.example"),
+                    (b"x-request-id", request_id),
+                    (b"x-deadline-ms", b"1000"),
+                ],
+            )
+
+    async def _turn_most_nodes_away(self):
+        """Lets one node alone reach the store while the configuration changes."""
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.crash_rng.uniform(2.0, 4.0))
+            served = self.crash_rng.choice(self.instances)
+            away = [i for i in self.instances if i is not served]
+            for instance in away:
+                instance.store_link.cut()
+            self.store_faulty_at = time.monotonic()
+            self._write_config()
+            await asyncio.sleep(self.crash_rng.uniform(0.5, 3.0))
+            for instance in away:
+                instance.store_link.heal()
+            self.store_faulty_at = time.monotonic()
+
     async def _limit_backend_servers(self):
         """Lets one backend server after the other name a limit."""
         end = time.monotonic() + self.seconds
@@ -589,6 +707,12 @@
                 )
         for limited in self.limited_times:
             self._check_limit(limited, by_name)
+        late = self.crashing_request.list_late_arrivals(by_name)
+        if len(late) > MAX_LATE_ARRIVALS:
+            self.fail(
+                f"{len(late)} late arrivals of a request that had crashed"
+                f" {len(self.crashing_request.crashes)} backend servers"
+            )
         for instance in self.instances:
             rss_mb, descriptors = instance.read_usage()
             if rss_mb > MAX_RSS_MB or descriptors > MAX_DESCRIPTORS:
