Count a trial as failed only if its own run was lost

A request that was lost beside the one that crashes servers could be refused for two minutes: if its trial came to a server whose crash was not known yet, the refused connection recorded the crash of an earlier copy as that of the trial. Found by reading; the test fails before (refused instead of under trial).

--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -525,10 +525,9 @@
         self.crashes += 1
         now = clock.read_s()
         crash, lost = self._losses.take_crash(known.instance, known.started_ms)
-        trial = self._trial.find_running(now)
-        self.suspects.record_crash(crash, lost, trial, now)
-        if trial in lost:
-            self._trial.end()
+        # A trial that hasn't reached the server is none of the causes.
+        self.suspects.record_crash(crash, lost, self._trial.find_lost(now), now)
+        self._trial.end_if_lost()
         self._log.write(
             "backend server crashed",
             instance=known.instance,
--- a/src/lycheestair/sidecar/trials.py
+++ b/src/lycheestair/sidecar/trials.py
@@ -68,6 +68,10 @@
         """Tells that the trial got no answer; its server may have crashed."""
         self._is_lost = True
 
+    def find_lost(self, now: float) -> suspects.Fingerprint | None:
+        """Returns the request under trial if it got no answer, else None."""
+        return self.find_running(now) if self._is_lost else None
+
     def end_if_lost(self) -> None:
         """Ends a trial that was lost although its server has not crashed."""
         if self._is_lost:
--- a/tests/test_platform_suspects.py
+++ b/tests/test_platform_suspects.py
@@ -312,6 +312,33 @@
     run_scenario(scenario)
 
 
+def test_trial_that_finds_its_server_gone_has_not_failed():
+    """Guards against refusing a request that an earlier crash has lost."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk")) as world:
+            (instance,) = world.instances
+            node, now = instance.node._server, clock.read_s()
+            call = make_call(b"/view/7")
+            call.instance = "i-n1"
+            fingerprint = suspects_lib.compute_fingerprint(call)
+            for number in range(suspects_lib.CRASH_LIMIT):
+                node.suspects.record_crash(
+                    f"{number}", {fingerprint: now}, None, now
+                )
+            # A copy was lost when the server crashed, which isn't known yet.
+            node._losses.add(fingerprint, now)
+            instance.backend_server.crash()
+            node._pool.close_idle()
+            outcome = await node.run(call)
+            assert outcome.kind is errors.ErrorKind.CONNECT_FAILED
+            assert node.crashes == 1
+            verdict = node.suspects.classify(fingerprint, clock.read_s())
+            assert verdict is suspects_lib.Verdict.TRIAL
+
+    run_scenario(scenario)
+
+
 def test_server_runs_one_trial_at_a_time():
     """Guards against a crash in two trials, which tells nothing of either."""
     slot = trials.TrialSlot()
@@ -321,7 +348,9 @@
     assert not slot.begin(other, 1.5)
     slot.end_if_lost()
     assert slot.find_running(1.5) == REQUEST
+    assert slot.find_lost(1.5) is None
     slot.mark_lost()
+    assert slot.find_lost(1.5) == REQUEST
     slot.end_if_lost()
     assert slot.begin(other, 2.0)
     assert slot.begin(REQUEST, 2.0 + trials.MAX_TRIAL_S)
