--- a/src/lycheestair/server_limits.py
+++ b/src/lycheestair/server_limits.py
@@ -11,7 +11,8 @@
 from typing import Any
 from typing import Final
 
-_DECIMAL_NUMBER: Final = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+# A double has up to 17 significant digits, after up to as many zeros.
+_DECIMAL_NUMBER: Final = re.compile(rb"\d{1,9}(\.\d{1,40})?")
 # Requests of this time, at the rate of the limit, may start at once.
 BURST_S: Final = 0.5
 # A server that accepts almost nothing gets one request in this time, because
