--- a/tests/test_platform_store_access.py
+++ b/tests/test_platform_store_access.py
@@ -7,6 +7,7 @@
 import platform_world
 import pytest
 
+from lycheestair.sidecar import event_log
 from lycheestair.sidecar import store_search
 
 # Time within which a configuration that the store has accepted is in force.
@@ -107,18 +108,29 @@
     run_scenario(lambda: run_world(test))
 
 
-def test_one_feeder_without_the_store_changes_no_other_feeder():
+def test_one_feeder_without_the_store_changes_no_other_feeder(monkeypatch):
     """Guards against a search that replaces feeders that are served."""
+    released = []
+    write = event_log.EventLog.write
+
+    def record(log, message, **fields):
+        if message == "feeder role released":
+            released.append(log._node_id)
+        write(log, message, **fields)
 
     async def test(world):
-        world.instances[1].gate.how = "busy"
-        await asyncio.sleep(3.0)
-        active = [
-            instance.name
+        feeders = [
+            instance
             for instance in world.instances
             if instance.node._feeder._active
         ]
-        assert active == ["n00", "n02", "n03"]
+        assert len(feeders) == 3
+        monkeypatch.setattr(event_log.EventLog, "write", record)
+        feeders[1].gate.how = "busy"
+        await asyncio.sleep(3.0)
+        assert released == [feeders[1].name]
+        active = sum(i.node._feeder._active for i in world.instances)
+        assert active == 3
 
     run_scenario(lambda: run_world(test))
 
