Bound the decoding of endless bodies by the time that it takes

Cause: a turn was bounded by 256 chunks, whose time depends on the processor, and bodies of 512 bytes a chunk and more had no turns. Ruled out before: the load alone (0.04 s with finite answers, same load).

Change: the time used for each body is counted. From 2 ms on it is decoded in turns of 1 ms, and the turns of all bodies take a tenth of the time together. The product's node counts processor time, because its threads wait for each other.

--- a/src/lycheestair/bodies.py
+++ b/src/lycheestair/bodies.py
@@ -7,8 +7,8 @@
 from lycheestair import messages
 from lycheestair import pacing
 
-# Bodies of tiny chunks share the turns of all connections of the process.
-_COSTLY_BODIES: Final = pacing.Pacer()
+# Shared by the bodies on all connections of the process.
+_BODY_PACER: Final = pacing.Pacer()
 
 
 def read_body(
@@ -36,12 +36,15 @@
 
 def _read_chunks(reader: messages.MessageReader, limit: int) -> bytes:
     decoder = chunks.ChunkDecoder(limit)
+    pace = pacing.BodyPace(_BODY_PACER)
     while True:
+        # Unlike the monotonic clock, it excludes waiting for the other threads.
+        began_s = time.thread_time()
         decoded_bytes = reader.decode(decoder.decode)
         if decoder.is_finished:
             return decoder.take_body()
-        if decoder.is_costly:
-            delay_s = _COSTLY_BODIES.reserve(time.monotonic())
+        used_s = time.thread_time() - began_s
+        if delay_s := pace.charge(time.monotonic(), used_s):
             time.sleep(min(delay_s, reader.check_deadline()))
         if not decoded_bytes and not reader.fill():
             raise messages.IncompleteMessageError(True)
--- a/src/lycheestair/chunks.py
+++ b/src/lycheestair/chunks.py
@@ -14,12 +14,8 @@
 
 MAX_CHUNK_LINE_BYTES: Final = 256
 MAX_TRAILER_BYTES: Final = 8_192
-# Chunks and trailer lines decoded by one call, less than a millisecond of work.
-MAX_PARTS_PER_CALL: Final = 256
-# A body may have this many parts, and one more for each CHUNK_BYTES of content,
-# before it counts as costly.
-MAX_CHEAP_PARTS: Final = 256
-CHUNK_BYTES: Final = 512
+# Chunks and trailer lines decoded by one call, a fraction of a turn (`pacing`).
+MAX_PARTS_PER_CALL: Final = 32
 
 _CHUNK_LINE: Final = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(;[^\r\n]*)?\r\n")
 _LINE_END: Final = b"\r\n"
@@ -66,13 +62,6 @@
         """Whether the end of the body has been decoded."""
         return self._state is _State.FINISHED
 
-    @property
-    def is_costly(self) -> bool:
-        """Whether the body has more parts than its content justifies."""
-        return (
-            self._part_count > MAX_CHEAP_PARTS + len(self._body) // CHUNK_BYTES
-        )
-
     def take_body(self) -> bytes:
         """Returns the decoded body and releases its memory."""
         body = bytes(self._body)
--- a/src/lycheestair/load_model.py
+++ b/src/lycheestair/load_model.py
@@ -12,12 +12,12 @@
 import dataclasses
 import enum
 import random
-import selectors
 from typing import Final
 
 from lycheestair import errors
 from lycheestair import experiment_settings
 from lycheestair import ids
+from lycheestair import virtual_time
 from lycheestair.sidecar import admission
 from lycheestair.sidecar import backend
 from lycheestair.sidecar import balancer
@@ -73,31 +73,6 @@
     at_s: float
 
 
-class _JumpingSelector(selectors.SelectSelector):
-    """Advances the virtual time instead of waiting."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now_s = 0.0
-
-    def select(
-        self, timeout: float | None = None
-    ) -> list[tuple[selectors.SelectorKey, int]]:
-        self.now_s += timeout or 0.0
-        return super().select(0)
-
-
-class _VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """Event loop whose time passes only while all tasks wait."""
-
-    def __init__(self) -> None:
-        self._virtual_selector = _JumpingSelector()
-        super().__init__(self._virtual_selector)
-
-    def time(self) -> float:
-        return self._virtual_selector.now_s
-
-
 class _Node:
     """A node: its view of the others, its queue and its server."""
 
@@ -337,9 +312,9 @@
 
 
 @contextlib.contextmanager
-def _virtual_time(seed: int) -> Iterator[_VirtualTimeLoop]:
+def _virtual_time(seed: int) -> Iterator[virtual_time.EventLoop]:
     """Replaces the clock of the product and the seed of its choices."""
-    loop = _VirtualTimeLoop()
+    loop = virtual_time.EventLoop()
     random_state = random.getstate()
     random.seed(seed)
     try:
--- a/src/lycheestair/sidecar/http1.py
+++ b/src/lycheestair/sidecar/http1.py
@@ -20,8 +20,8 @@
 # Result of `messages.parse_body_framing` for a chunked body.
 CHUNKED: Final = -1
 
-# Bodies of tiny chunks share the turns of all connections of the process.
-_COSTLY_BODIES: Final = pacing.Pacer()
+# Shared by the bodies on all connections of the process.
+_BODY_PACER: Final = pacing.Pacer()
 _CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -183,12 +183,15 @@
 async def _read_chunks(
     stream: streams.Stream, decoder: chunks.ChunkDecoder
 ) -> bytes:
+    pace = pacing.BodyPace(_BODY_PACER)
     while True:
+        began_at = time.monotonic()
         decoded_bytes = stream.decode(decoder.decode)
         if decoder.is_finished:
             return decoder.take_body()
-        if decoder.is_costly:
-            await asyncio.sleep(_COSTLY_BODIES.reserve(time.monotonic()))
+        now = time.monotonic()
+        if delay_s := pace.charge(now, now - began_at):
+            await asyncio.sleep(delay_s)
         if not decoded_bytes:
             await stream.fill(True)
 
