Try a request that was cleared again after its next crash

Cause: an answer dropped all that was known; the count began at zero.

Change: once three crashes of a request have been cleared, one more crash makes it run as a trial again, and failed trials before an answer count for the time of the refusal.

--- a/src/lycheestair/sidecar/suspects.py
+++ b/src/lycheestair/sidecar/suspects.py
@@ -6,7 +6,8 @@
 and crashes that come together tell nothing of which request caused them. Therefore a
 request under which CRASH_LIMIT servers have crashed is only run as a trial, one at a
 time (`trials`). An answer clears it; if the server crashes again, all nodes refuse the
-request for some time. Nodes merge what they know in any order, and a restarted node
+request for some time. A request that crashes servers only now and then is run as a trial
+again after its next crash, and earlier failed trials count. Nodes merge what they know in any order, and a restarted node
 learns it from the others or from the store (`suspect_records`).
 """
 
@@ -74,20 +75,24 @@
     @property
     def is_quarantined(self) -> bool:
         """Whether the request is run only as a trial, or refused."""
-        return len(self.uncleared) >= CRASH_LIMIT
+        limit = 1 if len(self.cleared) >= CRASH_LIMIT else CRASH_LIMIT
+        return len(self.uncleared) >= limit
 
     @property
     def refused_until(self) -> float:
         """Time until which the request is refused after failed trials."""
-        failed_trials = sorted(
+        failed_trials = [
+            crash for crash in self.crashes if crash.startswith(TRIAL_PREFIX)
+        ]
+        uncleared_times = [
             self.crashes[crash]
-            for crash in self.uncleared
-            if crash.startswith(TRIAL_PREFIX)
-        )
-        if not failed_trials:
+            for crash in failed_trials
+            if crash not in self.cleared
+        ]
+        if not uncleared_times:
             return 0.0
         number = min(len(failed_trials), len(TRIAL_DELAYS_S))
-        return failed_trials[-1] + TRIAL_DELAYS_S[number - 1]
+        return max(uncleared_times) + TRIAL_DELAYS_S[number - 1]
 
 
 class SuspectTable:
@@ -224,6 +229,7 @@
                 if now - item[1].crashed_at < RETENTION_S
             ),
             key=lambda item: (
+                not item[1].is_quarantined,
                 -min(CRASH_LIMIT, len(item[1].uncleared)),
                 -item[1].crashed_at,
             ),
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -37,7 +37,18 @@
       crashes: Times of the crashes.
     """
 
-    def __init__(self, instances, crash_after_s=0.12, back_after_s=1.3):
+    def __init__(
+        self, instances, crash_after_s=0.12, back_after_s=1.3, answers=()
+    ):
+        """Initializes the servers.
+
+        Args:
+          instances: Instances of the servers.
+          crash_after_s: Time in seconds from an arrival to the crash.
+          back_after_s: Time in seconds from a crash to the next start.
+          answers: Numbers of the arrivals that are answered without a crash.
+        """
+        self._answers = answers
         self.arrivals = []
         self.crashes = []
         self._crash_after_s = crash_after_s
@@ -56,6 +67,9 @@
                 stream.write(server.encode(request))
                 return
             self.arrivals.append(time.monotonic())
+            if len(self.arrivals) in self._answers:
+                stream.write(server.encode(request))
+                return
             started_ms = server.started_ms
             await asyncio.sleep(self._crash_after_s)
             if server.started_ms != started_ms or server.is_down:
@@ -196,6 +210,36 @@
     run_scenario(scenario)
 
 
+def test_request_that_is_answered_now_and_then_stops_crashing_servers():
+    """Guards against as many crashes after each answer as before it."""
+
+    async def scenario():
+        async with run_world() as world:
+            # The first wave crashes servers, the next requests are answered.
+            first_wave = 6
+            servers = CrashingServers(
+                world.instances, answers=range(first_wave + 1, first_wave + 9)
+            )
+            tasks = [
+                asyncio.create_task(instance.request(CRASH))
+                for instance in world.instances
+            ]
+            await asyncio.gather(*tasks)
+            await asyncio.sleep(2.0)
+            while len(servers.arrivals) < first_wave + 8:
+                await world.instances[0].request(CRASH)
+                await asyncio.sleep(0.1)
+            crashes = len(servers.crashes)
+            for _ in range(3):
+                await send_everywhere(world.instances, 1, gap_s=0.4)
+                await asyncio.sleep(2.0)
+            # One shows that it crashes servers again, and one is its trial.
+            assert len(servers.crashes) <= crashes + 2
+            await assert_others_are_served(world.instances)
+
+    run_scenario(scenario)
+
+
 def test_silent_server_counts_as_crashed():
     """Guards against crashes that are known only when the servers are back."""
 
--- a/tests/test_platform_suspects.py
+++ b/tests/test_platform_suspects.py
@@ -172,6 +172,25 @@
         now += delay_s + 0.5
 
 
+def test_request_that_was_cleared_is_tried_again_after_its_next_crash():
+    """Guards against three crashes after each answer of a faulty request."""
+    table = suspects_lib.SuspectTable()
+    for number in range(suspects_lib.CRASH_LIMIT):
+        record_crash(table, number)
+    table.clear(REQUEST)
+    record_crash(table, 10)
+    assert table.classify(REQUEST, 11.0) is suspects_lib.Verdict.TRIAL
+    table.clear(REQUEST)
+    assert table.classify(REQUEST, 11.0) is suspects_lib.Verdict.CLEAN
+    # The answer between two failed trials doesn't make the second one the first.
+    record_crash(table, 12)
+    record_crash(table, 13, is_trial=True)
+    table.clear(REQUEST)
+    assert table.classify(REQUEST, 14.0) is suspects_lib.Verdict.CLEAN
+    record_crash(table, 15, is_trial=True)
+    assert table.read_refusal_s(REQUEST, 15.5) == suspects_lib.TRIAL_DELAYS_S[1]
+
+
 @pytest.mark.parametrize("order", [1, -1])
 def test_suspects_merge_in_any_order(order):
     """Guards against nodes that permanently know different suspects."""
