Take no late error response without an id for the answer to an order

Cause: an error response without a request id counted as the response to the request in progress, on any connection. Beside it, 408, 429 and 503 were passed on for orders although their server didn't say that it had not run them.

Change: on a connection that has carried earlier requests, only a response that says "not executed" may lack the id; others are skipped and the response is read. Promises without that statement become 502 for orders.

--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -30,8 +30,6 @@
 from lycheestair.sidecar import suspects
 from lycheestair.sidecar import versions as versions_lib
 
-MIN_ERROR_STATUS: Final = 400
-MIN_SERVER_ERROR_STATUS: Final = 500
 # Serving nodes tried for one request. A refusal wastes no backend work, but
 # the request is delayed meanwhile.
 MAX_NODES_TRIED: Final = 4
@@ -436,7 +434,9 @@
         if isinstance(outcome, http1.Response):
             self._note_limit(member, call.instance, outcome)
             if not outcome.dependency_failed:
-                member.record_outcome(outcome.status >= MIN_SERVER_ERROR_STATUS)
+                member.record_outcome(
+                    outcome.status >= serving.MIN_SERVER_ERROR_STATUS
+                )
         elif outcome.reached:
             member.record_outcome(True)
         return outcome
@@ -463,7 +463,7 @@
 def _is_error(outcome: calls.Outcome) -> bool:
     return (
         not isinstance(outcome, http1.Response)
-        or outcome.status >= MIN_ERROR_STATUS
+        or outcome.status >= serving.MIN_ERROR_STATUS
     )
 
 
@@ -488,7 +488,7 @@
         # the retry budget of the dependency.
         return (
             call.idempotent
-            and outcome.status >= MIN_SERVER_ERROR_STATUS
+            and outcome.status >= serving.MIN_SERVER_ERROR_STATUS
             and not outcome.dependency_failed
         )
     if outcome.kind in FINAL_KINDS:
--- a/src/lycheestair/sidecar/pool.py
+++ b/src/lycheestair/sidecar/pool.py
@@ -27,10 +27,12 @@
     Attributes:
       idle_since: Time in seconds at which it was returned to the pool.
       max_idle_s: Time in seconds for which it may be reused after a response.
+      was_used: Whether it has carried an earlier request.
     """
 
     def __init__(self, stream: streams.Stream):
         self.stream = stream
+        self.was_used = False
         self.idle_since = 0.0
         self.max_idle_s = DEFAULT_MAX_IDLE_S
 
@@ -77,6 +79,7 @@
     def check_in(self, connection: Connection) -> None:
         """Returns a connection to the pool after a complete response."""
         connection.idle_since = clock.read_s()
+        connection.was_used = True
         self._idle.append(connection)
 
 
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -47,6 +47,9 @@
 # read. They are copied once for the entry node and once for its client.
 ANSWER_MEMORY_RATIO: Final = 0.2
 MISDIRECTED_REQUEST_STATUS: Final = 421
+# Clients take these statuses for the promise that the request has not run.
+NOT_RUN_STATUSES: Final = frozenset({408, 429, 503})
+MIN_ERROR_STATUS: Final = 400
 # Outcomes of a request that may have crashed its backend server.
 UNANSWERED: Final = frozenset(
     {
@@ -618,7 +621,7 @@
             with self._answer_memory.open_account() as account:
                 async with deadlines.limit(call.deadline):
                     response = await self._read_response(
-                        connection.stream, call, account
+                        connection, call, account
                     )
             # A response without an id can't be told from a second copy of it,
             # so nothing may follow on its connection.
@@ -630,7 +633,7 @@
             connection.update_max_idle(response)
             self._apply_limit(response, endpoint)
             self._apply_leaving(response, endpoint)
-            return self._classify_response(response, endpoint)
+            return self._classify_response(response, endpoint, call)
         except TimeoutError:
             return calls.Refusal(errors.ErrorKind.TIMEOUT, reached=True)
         except asyncio.CancelledError:
@@ -666,31 +669,39 @@
 
     async def _read_response(
         self,
-        stream: streams.Stream,
+        connection: pool.Connection,
         call: calls.Call,
         account: byte_budget.Account,
     ) -> http1.Response:
-        """Reads the response to a call, skipping those to earlier requests."""
+        """Reads the response to a call, skipping those to other requests."""
         for _ in range(MAX_RESPONSES_READ):
             response = await http1.read_response(
-                stream, call.method, account.take
+                connection.stream, call.method, account.take
             )
-            if (
-                response.find_header(self._headers.request_id)
-                == call.request_id
-            ):
-                return response
-            # Error responses may lack the request id.
-            if (
-                response.find_header(self._headers.request_id) is None
-                and response.status >= 400
+            request_id = response.find_header(self._headers.request_id)
+            if request_id == call.request_id or (
+                request_id is None and self._may_lack_id(response, connection)
             ):
                 return response
             # No other response can follow one that closes the connection.
-            if stream.closed:
+            if connection.stream.closed:
                 break
         raise messages.MalformedMessageError("answer to another request")
 
+    def _may_lack_id(
+        self, response: http1.Response, connection: pool.Connection
+    ) -> bool:
+        """Returns whether a response without an id is that to the latest request.
+
+        Error responses may lack the id. On a connection that has carried earlier
+        requests, only one that refuses to run the request is no late one: no
+        request follows such a response.
+        """
+        return response.status >= MIN_ERROR_STATUS and (
+            not connection.was_used
+            or response.find_header(self._headers.not_executed) is not None
+        )
+
     def _apply_limit(
         self, answer: http1.Response, endpoint: members.Endpoint
     ) -> None:
@@ -755,7 +766,10 @@
         )
 
     def _classify_response(
-        self, answer: http1.Response, endpoint: members.Endpoint
+        self,
+        answer: http1.Response,
+        endpoint: members.Endpoint,
+        call: calls.Call,
     ) -> calls.Outcome:
         if answer.status == MISDIRECTED_REQUEST_STATUS:
             if endpoint is self.endpoint:
@@ -771,6 +785,12 @@
                 f"status {answer.status}",
                 reached=True,
             )
+        if answer.status in NOT_RUN_STATUSES and not call.idempotent:
+            return calls.Refusal(
+                errors.ErrorKind.ANSWER_INCOMPLETE,
+                f"status {answer.status} of a request that may have run",
+                reached=True,
+            )
         if (
             answer.status < 300
             and answer.find_header(self._headers.signature) is None
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -613,6 +613,67 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("closes", [True, False])
+@pytest.mark.parametrize("status", [400, 408, 421, 429, 500, 503])
+def test_late_bytes_without_an_id_answer_no_order(status, closes):
+    """Guards against 'not run' for an order that its server runs."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk"), ("n2", "press")) as world:
+            faulty, entry = world.instances
+            server = faulty.backend_server
+            used = set()
+            headers = [(b"connection", b"close")] if closes else []
+            late_bytes = http1.encode_response(
+                http1.Response(status, headers, b""), b"POST", True
+            )
+
+            async def handle(request, stream):
+                if stream in used:
+                    stream.write(late_bytes)
+                used.add(stream)
+                await asyncio.sleep(0.05)
+                stream.write(server.encode(request))
+
+            server.handler_override = handle
+            for number in range(4):
+                response = await entry.request(f"/order/{number}", b"POST")
+                assert response.status == 200
+                assert response.find_header(standins.STAMP_HEADER)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("has_id", [True, False])
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_order_is_not_reported_as_not_run_unless_its_server_says_so(
+    status, has_id
+):
+    """Guards against a status that promises more than the server said."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk"), ("n2", "press")) as world:
+            faulty, entry = world.instances
+
+            async def fail(request, stream):
+                request_id = request.find_header(b"x-request-id")
+                headers = [(b"x-request-id", request_id)] if has_id else []
+                stream.write(
+                    http1.encode_response(
+                        http1.Response(status, headers, b""),
+                        request.method,
+                        True,
+                    )
+                )
+
+            faulty.backend_server.handler_override = fail
+            for number in range(3):
+                response = await entry.request(f"/order/{number}", b"POST")
+                assert response.status == 502
+
+    run_scenario(scenario)
+
+
 def test_request_refused_by_a_server_is_retried_on_another():
     """Guards against refusals while another backend server has slots."""
 
