Keep the answer of an order whose connection between nodes is lost

Cause: the serving node cancels a call 0.5 s after the loss of its connection. An admitted order goes on behind asyncio.shield, but its outcome was dropped.

Change: a non-idempotent call that has been admitted is not cancelled by the loss of its connection; its outcome is kept and sent when the entry node asks again, as for a short loss. Queued calls and reads are cancelled as before.

--- a/src/lycheestair/sidecar/calls.py
+++ b/src/lycheestair/sidecar/calls.py
@@ -35,6 +35,8 @@
       max_wait_s: Expected time in the queue beyond which the entry node
         prefers another backend server; None if it accepts any.
       fingerprint: Set by `suspects.compute_fingerprint`; empty before.
+      was_admitted: At the serving node: whether the backend server may have got
+        the request.
     """
 
     request_id: bytes
@@ -54,6 +56,7 @@
     is_retry: bool = False
     max_wait_s: float | None = None
     fingerprint: bytes = b""
+    was_admitted: bool = False
 
     @property
     def remaining_s(self) -> float:
--- a/src/lycheestair/sidecar/peer_server.py
+++ b/src/lycheestair/sidecar/peer_server.py
@@ -23,7 +23,7 @@
 HANDSHAKE_TIMEOUT_S: Final = 2.0
 # A call whose connection was lost is cancelled after this time unless its entry
 # node sends it again. Longer than a reconnect takes, and shorter than client
-# timeouts.
+# timeouts. A non-idempotent call that has been admitted runs to its end.
 ORPHAN_TIMEOUT_S: Final = 0.5
 # Outcomes are retained for calls that are sent again after a lost connection.
 OUTCOME_RETENTION_S: Final = 5.0
@@ -50,13 +50,21 @@
       stream: Latest connection that carried the call, None after a
         cancellation.
       number: Number that the entry node gave to the call.
+      call: The call; None if it isn't executed.
     """
 
     stream: streams.Stream | None
     number: int
+    call: calls.Call | None = None
     task: "asyncio.Task[calls.Outcome] | None" = None
     outcome: calls.Outcome | None = None
 
+    @property
+    def must_finish(self) -> bool:
+        """Whether the outcome is kept for an entry node that may return."""
+        call = self.call
+        return call is not None and call.was_admitted and not call.idempotent
+
 
 class PeerServer:
     """Executes the calls of other nodes, each at most once."""
@@ -198,7 +206,7 @@
                 self._send_outcome(known)
             return
         call = calls.decode_call(fields)
-        running = _ReceivedCall(stream, key[2])
+        running = _ReceivedCall(stream, key[2], call)
         self._calls[key] = running
         running.task = asyncio.get_running_loop().create_task(self._run(call))
         # Also called for a task that is cancelled before it starts.
@@ -292,7 +300,11 @@
     ) -> None:
         for key in orphans:
             running = self._calls.get(key)
-            if running is not None and running.stream is stream:
+            if (
+                running is not None
+                and running.stream is stream
+                and not running.must_finish
+            ):
                 self._cancel(key)
 
     def _expire_outcomes(self, now: float) -> None:
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -27,7 +27,6 @@
 from lycheestair.sidecar import members
 from lycheestair.sidecar import pool
 from lycheestair.sidecar import settings as settings_lib
-from lycheestair.sidecar import streams
 from lycheestair.sidecar import suspects as suspects_lib
 from lycheestair.sidecar import trials
 
@@ -396,6 +395,7 @@
         if refusal is not None:
             self.admission.release(call, False)
             return refusal
+        call.was_admitted = True
         if call.idempotent:
             return await self._run_admitted(endpoint, call)
         # A non-idempotent request continues if its client disconnects:
