Test that a node that was cut off learns which requests crash servers

A node of either cell is cut off while the request crashes servers at the others. After the cut it refuses the request within half a second, and at most one server gets it.

The test holds on the present code. With the suspects left out of what a link sends when its node becomes reachable, and no periodic copy, it fails (502 from a crashed server instead of 503).

--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import contextvars
 import time
 
 import platform_world
 import pytest
 
 from lycheestair.sidecar import clock
+from lycheestair.sidecar import streams
 
 CRASH = "/view/crash"
 # Arrivals later than this after the third crash are counted, see "BUDGET" in the
@@ -109,6 +111,60 @@
             task.cancel()
 
 
+# Name of the instance whose node runs the current task.
+_NODE = contextvars.ContextVar("node", default="")
+
+
+class Cut:
+    """Cuts one node off from all others; its server and the store stay in touch.
+
+    It must be created before the node starts.
+    """
+
+    def __init__(self, instance, monkeypatch):
+        self._instance = instance
+        self._is_cut = False
+        connect = streams.connect
+        start_node = instance.start_node
+
+        async def connect_unless_cut(address, timeout_s):
+            # Nodes listen on port 7660.
+            if (
+                self._is_cut
+                and address.endswith(":7660")
+                and instance.name in (_NODE.get(), self._find_name(address))
+            ):
+                await asyncio.sleep(timeout_s)
+                raise TimeoutError
+            return await connect(address, timeout_s)
+
+        async def start_named_node():
+            token = _NODE.set(instance.name)
+            try:
+                await start_node()
+            finally:
+                _NODE.reset(token)
+
+        monkeypatch.setattr(streams, "connect", connect_unless_cut)
+        instance.start_node = start_named_node
+
+    def _find_name(self, address):
+        return self._instance.name if address == self._instance.peers else ""
+
+    def begin(self):
+        self._is_cut = True
+        for instance in self._instance.world.instances:
+            for link in instance.node._gossip._links.values():
+                if self._instance.name in (
+                    instance.name,
+                    link.member.record.node_id,
+                ):
+                    link._stream and link._stream.abort()
+
+    def end(self):
+        self._is_cut = False
+
+
 async def send_heartbeats(instances):
     while True:
         await asyncio.sleep(1.0)
@@ -177,6 +233,53 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("cut_off", ["n3", "s1"])
+def test_node_that_was_cut_off_refuses_what_others_learnt(cut_off, monkeypatch):
+    """Guards against crashes that only the nodes know that were in touch."""
+
+    async def scenario():
+        async with platform_world.run() as world:
+            for arguments in NODES:
+                instance = platform_world.Instance(world, *arguments)
+                if instance.name == cut_off:
+                    cut = Cut(instance, monkeypatch)
+                    isolated = instance
+                world.instances.append(instance)
+                await instance.start()
+            heartbeats = asyncio.create_task(send_heartbeats(world.instances))
+            await world.wait_ready()
+            servers = CrashingServers(world.instances)
+            others = [i for i in world.instances if i is not isolated]
+            cut.begin()
+            await platform_world.wait_for(
+                lambda: not any(
+                    i.node._table.find(cut_off).reachable for i in others
+                )
+            )
+            for _ in range(2):
+                await send_everywhere(others)
+                await asyncio.sleep(2.0)
+            assert len(servers.crashes) >= 3
+            assert not isolated.node._server.suspects
+            cut.end()
+            await platform_world.wait_for(
+                lambda: all(
+                    i.node._table.find(cut_off).reachable for i in others
+                )
+            )
+            await asyncio.sleep(0.5)
+            arrivals = len(servers.arrivals)
+            for _ in range(3):
+                response = await isolated.request(CRASH)
+                assert response.status == 503
+                await asyncio.sleep(0.3)
+            assert len(servers.arrivals) <= arrivals + 1
+            await assert_others_are_served(world.instances)
+            heartbeats.cancel()
+
+    run_scenario(scenario)
+
+
 def test_popular_request_lost_in_crashes_is_served_again_at_once():
     """Guards against refusing harmless requests that ran on crashing servers."""
 
