Send a rolled-back version no requests during the next rollout

Cause: the next order replaced the tracked rollout and its verdict, and every version but the target counted as the old one.

Change: a rollout keeps the versions that were rolled back before it, and its reports carry them.

The new test failed before in its three cases (found bad, rolled back, ordered in a restored store).

--- a/src/lycheestair/sidecar/rollout.py
+++ b/src/lycheestair/sidecar/rollout.py
@@ -47,12 +47,14 @@
       bad_reason: Why a node found the new version bad, empty if none did.
       decided: Final state that it reached before the store was restored, None if
         it reached none or the store still has it.
+      rejected: Versions of the service whose earlier rollouts were rolled back.
     """
 
     rollout: Rollout
     age_s: float
     bad_reason: str = ""
     decided: RolloutState | None = None
+    rejected: tuple[ids.VersionName, ...] = ()
 
 
 def encode(report: RolloutReport) -> list[Any]:
@@ -68,6 +70,8 @@
         report.age_s,
         report.bad_reason,
         report.decided.value if report.decided else None,
+        # Nodes of the previous release can't read reports with this field.
+        *([list(report.rejected)] if report.rejected else []),
     ]
 
 
@@ -89,7 +93,7 @@
         age_s,
         *verdict,
     ) = fields
-    bad_reason, decided = verdict or ("", None)
+    bad_reason, decided, *rejected = verdict or ("", None)
     return RolloutReport(
         Rollout(
             service,
@@ -102,4 +106,9 @@
         age_s,
         bad_reason,
         RolloutState(decided) if decided else None,
+        tuple(
+            ids.VersionName(str(version))
+            for names in rejected[:1]
+            for version in names
+        ),
     )
--- a/src/lycheestair/sidecar/versions.py
+++ b/src/lycheestair/sidecar/versions.py
@@ -20,6 +20,9 @@
 # States of rollouts that are remembered. A copy of the store is seconds old, and a
 # rollout has a few states.
 MAX_EARLIER_STATES: Final = 256
+# Rolled-back versions of a service that are remembered, the latest ones. Their
+# servers leave some seconds after the rollback.
+MAX_REJECTED_VERSIONS: Final = 8
 
 # Service, target and revision number of a state of a rollout.
 _RolloutStateId = tuple[ids.ServiceName, ids.VersionName, int]
@@ -35,6 +38,8 @@
         earlier ones may belong to an earlier rollout to the same version.
       bad: Why the new version was found bad, empty if it was not.
       decided: Final state that it reached before the store was restored.
+      rejected: Versions whose earlier rollouts were rolled back, in their order.
+        They get no requests while another version serves.
     """
 
     rollout: rollout_lib.Rollout
@@ -42,6 +47,7 @@
     first_revision: revisions.Revision
     bad: str = ""
     decided: rollout_lib.RolloutState | None = None
+    rejected: tuple[ids.VersionName, ...] = ()
     evidence: evidence_lib.Evidence = dataclasses.field(
         default_factory=evidence_lib.Evidence
     )
@@ -54,6 +60,25 @@
         """State that applies, which the store may have lost."""
         return self.decided or self.rollout.state
 
+    @property
+    def is_rejected(self) -> bool:
+        """Whether the new version was rolled back or is about to be."""
+        return bool(self.bad) or (
+            self.state is rollout_lib.RolloutState.ROLLED_BACK
+        )
+
+    def merge_rejected(self, versions: Iterable[ids.VersionName]) -> bool:
+        """Adds versions that another node rejects; returns whether any is news.
+
+        None is dropped for them, so that nodes don't exchange them for ever.
+        """
+        known = {*self.rejected, self.rollout.target}
+        added = tuple(v for v in versions if v not in known)
+        merged = (*self.rejected, *added)[:MAX_REJECTED_VERSIONS]
+        is_news = merged != self.rejected
+        self.rejected = merged
+        return is_news
+
 
 class VersionPlanner:
     """Computes which versions get requests, from rollouts and their outcomes.
@@ -83,6 +108,7 @@
                 now - tracked.learned_at,
                 tracked.bad,
                 tracked.decided,
+                tracked.rejected,
             )
             for tracked in self._rollouts.values()
         ]
@@ -112,7 +138,8 @@
         )
         if learns_verdict:
             known.bad = report.bad_reason
-        return is_newer or learns_decision or learns_verdict
+        learns_rejection = known.merge_rejected(report.rejected)
+        return is_newer or learns_decision or learns_verdict or learns_rejection
 
     def _apply_newer(self, rollout: rollout_lib.Rollout, age_s: float) -> bool:
         known = self._rollouts.get(rollout.service)
@@ -144,7 +171,12 @@
         self, rollout: rollout_lib.Rollout, learned_at: float
     ) -> None:
         tracked = _TrackedRollout(rollout, learned_at, rollout.revision)
-        if rollout.service in self._rollouts:
+        previous = self._rollouts.get(rollout.service)
+        if previous is not None:
+            rejected = previous.rejected
+            if previous.is_rejected:
+                rejected = (*rejected, previous.rollout.target)
+            tracked.merge_rejected(rejected[-MAX_REJECTED_VERSIONS:])
             # What members report now belongs to the previous rollout.
             for member in self._table:
                 tracked.increments.read(member)
@@ -225,6 +257,8 @@
         """
         versions = self._exclude_without_rollout(service, set(available))
         tracked = self._rollouts.get(service)
+        if tracked is not None:
+            versions = versions.difference(tracked.rejected) or versions
         if tracked is None or len(versions) < 2:
             return self._split_evenly(versions)
         target = tracked.rollout.target
@@ -240,7 +274,7 @@
         state = tracked.state
         if state is rollout_lib.RolloutState.COMPLETED:
             return 1.0
-        if state is rollout_lib.RolloutState.ROLLED_BACK or tracked.bad:
+        if tracked.is_rejected:
             return 0.0
         evidence = tracked.evidence
         return exposure.compute_share(
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -292,6 +292,61 @@
     assert sum(shares.values()) == pytest.approx(1.0)
 
 
+@pytest.mark.parametrize("verdict", ["found bad", "rolled back", "restored"])
+def test_rolled_back_version_gets_no_traffic_in_the_next_rollout(verdict):
+    """Guards against a bad version that shares the traffic of the old one."""
+    planner = make_planner()
+    planner.update_rollout(make_report(make_rollout()))
+    if verdict == "rolled back":
+        planner.update_rollout(
+            make_report(make_rollout(STATES.ROLLED_BACK, revision=7))
+        )
+    else:
+        planner.update_rollout(make_report(make_rollout(), 1.0, "errors"))
+    later = make_rollout(
+        revision=9,
+        created=9,
+        target="v3",
+        era=2 if verdict == "restored" else 1,
+    )
+    assert planner.update_rollout(make_report(later))
+    shares = planner.compute_shares(SERVICE, ["v1", "v2", "v3"])
+    assert set(shares) == {"v1", "v3"}
+    # Also before its servers have started, and once the old ones are gone.
+    assert planner.compute_shares(SERVICE, ["v1", "v2"]) == {"v1": 1.0}
+    assert planner.compute_shares(SERVICE, ["v2", "v3"]) == {"v3": 1.0}
+    assert planner.compute_shares(SERVICE, ["v2"]) == {"v2": 1.0}
+    # A node that starts later learns it with the rollout.
+    (report,) = planner.list_rollouts()
+    other = make_planner()
+    assert other.update_rollout(rollout_lib.decode(rollout_lib.encode(report)))
+    assert not other.update_rollout(report)
+    shares = other.compute_shares(SERVICE, ["v1", "v2", "v3"])
+    assert set(shares) == {"v1", "v3"}
+    # It is tried again if the operator orders so.
+    planner.update_rollout(
+        make_report(make_rollout(STATES.ROLLED_BACK, 11, "v3", 2, 9))
+    )
+    again = make_rollout(revision=12, created=12, target="v2", era=2)
+    assert planner.update_rollout(make_report(again))
+    shares = planner.compute_shares(SERVICE, ["v1", "v2", "v3"])
+    assert set(shares) == {"v1", "v2"}
+    assert shares["v2"] < 0.1
+
+
+def test_number_of_rejected_versions_is_bounded():
+    """Guards against reports that grow with each version that was bad."""
+    planner = make_planner()
+    for number in range(1, 60):
+        rollout = make_rollout(
+            revision=number, created=number, target=f"v{number}"
+        )
+        planner.update_rollout(make_report(rollout, 0.0, "errors"))
+    (report,) = planner.list_rollouts()
+    assert len(report.rejected) == versions_lib.MAX_REJECTED_VERSIONS
+    assert "v58" in report.rejected
+
+
 def test_new_version_gets_no_traffic_before_its_rollout():
     """Guards against an even share for a version without a known rollout.
 
@@ -346,6 +401,10 @@
     report = rollout_lib.decode(fields)
     assert report.rollout.revision == revisions.Revision(0, 7)
     assert (report.bad_reason, report.decided) == ("", None)
+    assert not report.rejected
+    verdict = rollout_lib.decode([*fields, "slow", "rolled_back"])
+    assert verdict.bad_reason == "slow"
+    assert not verdict.rejected
     member = members.Member(
         members.NodeRecord("n1", "127.0.0.1:1", "a1", "north", 1)
     )
