Apply the limits in force to requests on idle connections

Cause: the limits were read before waiting for the request.

Change: they are read when its first bytes have arrived; the idle timeout is read again when it has passed.

--- a/src/lycheestair/sidecar/entry.py
+++ b/src/lycheestair/sidecar/entry.py
@@ -114,14 +114,13 @@
             self._idle.discard(stream)
 
     async def _serve_request(self, stream: streams.Stream) -> bool:
-        limits = self._gossip.catalog.limits
         if not stream.buffered:
             self._idle.add(stream)
             try:
-                async with asyncio.timeout(limits.idle_timeout_s):
-                    await stream.fill(False)
+                await self._wait_for_request(stream)
             finally:
                 self._idle.discard(stream)
+        limits = self._gossip.catalog.limits
         try:
             async with asyncio.timeout(
                 max(limits.header_timeout_s, limits.idle_timeout_s)
@@ -151,6 +150,27 @@
         finally:
             self.in_progress -= 1
 
+    async def _wait_for_request(self, stream: streams.Stream) -> None:
+        """Waits for the first bytes of a request.
+
+        Raises:
+          IncompleteMessageError: The client has closed the connection.
+          TimeoutError: The connection was idle for the timeout, which may change
+            meanwhile.
+        """
+        idle_since = clock.read_s()
+        while True:
+            remaining_s = (
+                idle_since
+                + self._gossip.catalog.limits.idle_timeout_s
+                - clock.read_s()
+            )
+            if remaining_s <= 0:
+                raise TimeoutError
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(remaining_s):
+                    return await stream.fill(False)
+
     async def _handle_while_connected(
         self, stream: streams.Stream, request: http1.Request
     ) -> http1.Response | None:
