Begin a search for the store also soon after the previous one

Cause: a loss within 2 s of the start of a search was taken for the same event and began none, although the first search had found a node that was lost again. A call that the store left unanswered also kept its node from taking part.

Change: losses within 0.7 s of the start of a search begin one other search after that time; a search begins with new calls at all nodes that take part.

--- a/src/lycheestair/sidecar/feeder.py
+++ b/src/lycheestair/sidecar/feeder.py
@@ -102,7 +102,7 @@
         self._probe_requested = False
         # How late the store answered the latest watch.
         self._lateness_s = 0.0
-        gossip.on_feeder_lost_store = self._begin_search
+        gossip.on_feeder_lost_store = self._search.request
 
     async def run(self) -> None:
         """Registers this node, then runs the feeder tasks until cancelled."""
@@ -187,6 +187,7 @@
         while True:
             await self._gossip.wait_for_tick()
             active = self._update_active()
+            self._begin_search_if_requested()
             if self._probe is not None:
                 if not self._probe.done():
                     continue
@@ -218,17 +219,21 @@
             now - self._store_probed_at > random.uniform(0.5, 1.0) * interval_s
         )
 
-    def _begin_search(self) -> None:
+    def _begin_search_if_requested(self) -> None:
         """Begins a search for nodes that the store serves.
 
         What other nodes have told of the store is outdated. The feeders notice a
         loss themselves.
         """
-        if not self._search.begin(clock.read_s()):
+        if not self._search.begin_if_requested(clock.read_s()):
             return
         self._gossip.forget_store_reports()
         if not self._active and self._gossip.store_available:
             self._gossip.store_available = None
+        if self._probe is not None:
+            # The store may not answer it, although it serves this node now.
+            self._probe.cancel()
+            self._probe = None
         self._log.write("store search begun")
 
     def _set_store_available(self, answered: bool, error: str = "") -> None:
--- a/src/lycheestair/sidecar/store_search.py
+++ b/src/lycheestair/sidecar/store_search.py
@@ -17,9 +17,12 @@
 ROUND_INTERVAL_S: Final = 0.5
 # Rounds of the first size follow at this interval while no node is served.
 LATE_ROUND_INTERVAL_S: Final = 5.0
-# What a node knows from a call is used for this long before it calls again. A loss
-# within this time of the start of a search begins no other one.
+# During a search, what a node knows from a call is used for this long before it calls
+# again.
 KNOWLEDGE_MAX_AGE_S: Final = 2.0
+# Losses within this time of the start of a search begin one other search after it: a
+# node that the first one has found may be lost again.
+MIN_INTERVAL_S: Final = 0.7
 
 
 class StoreSearch:
@@ -33,16 +36,23 @@
 
     def __init__(self, generator: random.Random):
         self.active = False
+        self._is_requested = False
         self._generator = generator
         self._began_at = float("-inf")
         self._next_round = 0
         self._tried_at = float("-inf")
 
-    def begin(self, now: float) -> bool:
-        """Begins a search; returns False if one has begun shortly before."""
-        if now - self._began_at < KNOWLEDGE_MAX_AGE_S:
+    def request(self) -> None:
+        """Tells that a feeder has lost the store."""
+        self._is_requested = True
+
+    def begin_if_requested(self, now: float) -> bool:
+        """Begins a search if one is requested; returns whether it did."""
+        if not self._is_requested or now - self._began_at < MIN_INTERVAL_S:
             return False
+        self._is_requested = False
         self._began_at = now
+        self._tried_at = float("-inf")
         self._next_round = 0
         self.active = True
         return True
