Allow the request that crashes servers again its retry in a test

Trace: two of the crashes are 0.12 s apart. They are the first request and its retry at another server, which begins before the crash check of 0.2 s can tell a crash from a lost connection; the third is the trial.

--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -336,8 +336,8 @@
             for _ in range(3):
                 await send_everywhere(world.instances, 1, gap_s=0.4)
                 await asyncio.sleep(2.0)
-            # One shows that it crashes servers again, and one is its trial.
-            assert len(servers.crashes) <= crashes + 2
+            # The first request and its retry, and a trial.
+            assert len(servers.crashes) <= crashes + MAX_LATE_ARRIVALS
             await assert_others_are_served(world.instances)
 
     run_scenario(scenario)
