Keep a completed version in use in the next rollout

Found by reading the diff: if a verdict on a version comes when its rollout is completed, the next order took that version for a rolled-back one. The old servers are gone then, so that the next version would have got all requests at once.

Change: a completed version is never rejected, whatever was found before.

test_completed_version_keeps_its_traffic_in_the_next_rollout failed before (share 1.0 of the new version).

--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -694,8 +694,8 @@
         """Returns whether a response without an id is that to the latest request.
 
         Error responses may lack the id. On a connection that has carried earlier
-        requests, only one that refuses to run the request is no late one: no
-        request follows such a response.
+        requests it may belong to none of them, unless it says that the request
+        was not executed: no request follows such a response.
         """
         return response.status >= MIN_ERROR_STATUS and (
             not connection.was_used
--- a/src/lycheestair/sidecar/suspects.py
+++ b/src/lycheestair/sidecar/suspects.py
@@ -6,9 +6,10 @@
 and crashes that come together tell nothing of which request caused them. Therefore a
 request under which CRASH_LIMIT servers have crashed is only run as a trial, one at a
 time (`trials`). An answer clears it; if the server crashes again, all nodes refuse the
-request for some time. A request that crashes servers only now and then is run as a trial
-again after its next crash, and earlier failed trials count. Nodes merge what they know in any order, and a restarted node
-learns it from the others or from the store (`suspect_records`).
+request for some time. A request that crashes servers only now and then is run as a
+trial again after its next crash, and earlier failed trials count. Nodes merge what they
+know in any order, and a restarted node learns it from the others or from the store
+(`suspect_records`).
 """
 
 from collections.abc import Iterator
--- a/src/lycheestair/sidecar/versions.py
+++ b/src/lycheestair/sidecar/versions.py
@@ -63,9 +63,9 @@
     @property
     def is_rejected(self) -> bool:
         """Whether the new version was rolled back or is about to be."""
-        return bool(self.bad) or (
-            self.state is rollout_lib.RolloutState.ROLLED_BACK
-        )
+        if self.state in rollout_lib.FINAL_STATES:
+            return self.state is rollout_lib.RolloutState.ROLLED_BACK
+        return bool(self.bad)
 
     def merge_rejected(self, versions: Iterable[ids.VersionName]) -> bool:
         """Adds versions that another node rejects; returns whether any is news.
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -334,6 +334,19 @@
     assert shares["v2"] < 0.1
 
 
+def test_completed_version_keeps_its_traffic_in_the_next_rollout():
+    """Guards against a verdict that came when the old servers were stopped."""
+    planner = make_planner()
+    planner.update_rollout(make_report(make_rollout(), 1.0, "errors"))
+    planner.update_rollout(
+        make_report(make_rollout(STATES.COMPLETED, revision=7))
+    )
+    assert planner.compute_shares(SERVICE, ["v1", "v2"]) == {"v2": 1.0}
+    later = make_rollout(revision=9, created=9, target="v3")
+    assert planner.update_rollout(make_report(later))
+    assert planner.compute_shares(SERVICE, ["v2", "v3"])["v3"] < 0.1
+
+
 def test_number_of_rejected_versions_is_bounded():
     """Guards against reports that grow with each version that was bad."""
     planner = make_planner()
