--- a/review/lab2.py
+++ b/review/lab2.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 import os
 import pathlib
 import shutil
@@ -200,8 +201,12 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def announce(self, state=None):
+        return await self.tell("instances.heartbeat", self.make_beat(state))
+
+    def make_beat(self, state=None):
+        """Returns the body of the next check-in."""
         self.sequence += 1
-        body = {
+        return {
             "address": self.machine.server,
             "born": self.born,
             "information": {
@@ -218,14 +223,11 @@
                 ),
             },
         }
-        return await self._tell("instances.heartbeat", body)
 
     async def deregister(self):
-        return await self._tell("instances.deregister", {"born": self.born})
-
-    async def _tell(self, call, body):
-        import json
+        return await self.tell("instances.deregister", {"born": self.born})
 
+    async def tell(self, call, body):
         answer = await exchange(
             self.machine.control,
             "POST",
