--- a/review/lab2.py
+++ b/review/lab2.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import subprocess
@@ -161,6 +162,10 @@
         self.runs = []
         self.requests = {}
         self.call = None
+        # Bytes that it sends late on a connection: share of its complete answers
+        # that they follow, and the bytes. They go out when the next request comes.
+        self.late_share = 0.0
+        self.late_bytes = b""
         # Whether it goes on with a request whose connection was closed.
         self.patient = False
         # Whether the run of a request will fail; called when it begins.
@@ -239,10 +244,12 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        owes_bytes = False
         try:
             while True:
                 request = await read_message(reader)
-                await self._run(request, reader, writer)
+                await self._run(request, reader, writer, owes_bytes)
+                owes_bytes = random.random() < self.late_share
         except (OSError, EOFError, asyncio.IncompleteReadError):
             pass
         except asyncio.CancelledError:
@@ -256,7 +263,7 @@
         await asyncio.sleep(duration_s)
         return self.call is None or await self.call(request)
 
-    async def _run(self, request, reader, writer):
+    async def _run(self, request, reader, writer, owes_bytes):
         method, target, _ = request.start.split()
         request_id = request.headers.get("x-request-id", "")
         if request.headers.get("x-expected-instance") != self.instance:
@@ -270,6 +277,9 @@
                 target, "body", len(request.body),
                 "tenant", request.headers.get("x-tenant", "-"),
             )
+            if owes_bytes:
+                self.lab.record.write("late bytes before the answer to", request_id)
+                writer.write(self.late_bytes)
             fails = self.fails()
             is_cold = time.monotonic() < self.started_at + self.cold_s
             work = asyncio.create_task(
