Ask a backend server whether it serves after a restart of its node

Cause: a departure is acknowledged after at most 0.5 s, also while the store is away. If all nodes end then, nothing remembers it, and a restarted node took an empty store for proof that nothing had left, so that a delayed heartbeat brought the server into use. A heartbeat shows that its sender was running when it was sent, not that it still runs.

Not done: no acknowledgement while the store is away, which leaves each leaving server without one and doesn't stop late heartbeats of servers that exit all the same.

Change: a started node holds its backend server back until it passes a health check, or until two heartbeats have come, the second four intervals after the start or later (sidecar/presence). The paths of health checks are sent between nodes beside the configuration, which earlier releases still read.

Cost: one health check for each start of a node.

Where tests expected a server to be used at the moment its heartbeat was answered, they now wait for it, at most one second.

--- a/src/lycheestair/platform/documents.py
+++ b/src/lycheestair/platform/documents.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import functools
 import math
+import re
 from typing import Any
 from typing import Final
 
@@ -32,6 +33,7 @@
 }
 _STATE_NAMES: Final = {state: name for name, state in _STATES.items()}
 _DEFAULT_MAX_CONNECTIONS: Final = 100
+_PATH: Final = re.compile(r"/[!-~]{0,1023}")
 # Raised by decoding a malformed document, also one that is nested too deeply or
 # has a number that is too large.
 _DECODE_ERRORS: Final = (
@@ -71,6 +73,7 @@
                     ),
                     cold_values.decode(cluster.get("cold_start_s")),
                     cold_values.decode(cluster.get("cold_per_s")),
+                    _decode_health_path(cluster.get("health_check_path")),
                 )
                 for cluster in document["clusters"]
             }
@@ -172,6 +175,13 @@
     )
 
 
+def _decode_health_path(value: Any) -> str:
+    """Returns a path that can be requested, or an empty one."""
+    if isinstance(value, str) and _PATH.fullmatch(value):
+        return value
+    return ""
+
+
 def _decode_split(parts: list[Any]) -> tuple[catalog.ServiceWeight, ...]:
     split = tuple(
         catalog.ServiceWeight(
--- a/src/lycheestair/platform/requests.py
+++ b/src/lycheestair/platform/requests.py
@@ -16,6 +16,7 @@
     request_id=b"x-request-id",
     deadline_ms=b"x-deadline-ms",
     instance=b"x-expected-instance",
+    responder=b"x-instance-id",
     caller=b"x-caller-service",
     not_executed=b"x-not-executed",
     signature=b"x-server-stamp",
--- a/src/lycheestair/sidecar/backend.py
+++ b/src/lycheestair/sidecar/backend.py
@@ -47,6 +47,8 @@
       request_id: Id of one attempt of a client.
       deadline_ms: Timeout of the sender in milliseconds.
       instance: Id of the backend server that may execute the request.
+      responder: On a response to a health check: id of the backend server that
+        sent it.
       caller: Service of the entry node's local backend server.
       not_executed: On a response: the backend server did not execute the
         request.
@@ -65,6 +67,7 @@
     request_id: bytes
     deadline_ms: bytes
     instance: bytes
+    responder: bytes
     caller: bytes
     not_executed: bytes
     signature: bytes
--- a/src/lycheestair/sidecar/catalog.py
+++ b/src/lycheestair/sidecar/catalog.py
@@ -62,19 +62,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceLimits:
-    """Limits of the backend servers of a service.
+    """Limits and health check of the backend servers of a service.
 
     Attributes:
       max_connections: Connections that each backend server accepts.
       cold_start_s: Time for which a backend server is cold after its start.
       cold_requests_per_s: Requests a second that a cold one bears; 0 if it needs
         no protection.
+      health_path: Path of health checks, empty if there are none.
     """
 
     name: ids.ServiceName
     max_connections: int
     cold_start_s: float = 0.0
     cold_requests_per_s: float = 0.0
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -218,14 +220,34 @@
     return fields
 
 
+def encode_health_paths(new: Catalog) -> list[list[str]]:
+    """Encodes the paths of health checks.
+
+    They are sent beside a change, because nodes of the previous release refuse a
+    change with fields that they don't know.
+    """
+    return [
+        [service.name, service.health_path]
+        for service in new.services.values()
+        if service.health_path
+    ]
+
+
 def read_base_generation(change: EncodedChange) -> ids.Generation:
     """Returns the generation that an encoded change is based on."""
     return ids.Generation(int(change[1]))
 
 
-def apply_change(old: Catalog, change: EncodedChange) -> Catalog:
+def apply_change(
+    old: Catalog, change: EncodedChange, health_paths: Sequence[Any] = ()
+) -> Catalog:
     """Returns the configuration that results from an encoded change.
 
+    Args:
+      old: The configuration that the change may be based on.
+      change: The encoded change.
+      health_paths: What `encode_health_paths` returned.
+
     Raises:
       CatalogError: The change is malformed or not based on `old`.
     """
@@ -242,8 +264,12 @@
         for fields in routes:
             route = _decode_route(fields)
             merged[route.name] = route
+        paths = {str(name): str(path) for name, path in health_paths}
         services_by_name = {
-            fields[0]: ServiceLimits(*fields) for fields in services
+            fields[0]: dataclasses.replace(
+                ServiceLimits(*fields), health_path=paths.get(fields[0], "")
+            )
+            for fields in services
         }
         return Catalog(
             ids.Generation(int(generation)),
--- a/src/lycheestair/sidecar/departure_records.py
+++ b/src/lycheestair/sidecar/departure_records.py
@@ -104,7 +104,6 @@
         """Applies the departures that earlier processes of this node wrote."""
         self._known = await self._store.get(self._kind, self._node_id)
         self._apply_known()
-        self._server.confirm_departures()
 
     def _apply_known(self) -> None:
         if self._known is None:
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -294,7 +294,7 @@
             self._apply_status(member, frame[1])
         elif frame_type == frames.FrameType.CONFIGURATION:
             self.replica.apply_change(
-                member, ids.Generation(frame[1]), frame[2]
+                member, ids.Generation(frame[1]), *frame[2:4]
             )
         elif frame_type == frames.FrameType.CONFIGURATION_ACKNOWLEDGED:
             member.generation = max(member.generation, frame[1])
--- a/src/lycheestair/sidecar/node.py
+++ b/src/lycheestair/sidecar/node.py
@@ -31,6 +31,7 @@
 from lycheestair.sidecar import versions
 from lycheestair.sidecar.ingress import clients
 from lycheestair.sidecar.placement import slowdown
+from lycheestair.sidecar.presence import health_check
 
 # The node keeps listening for this long after SIGTERM. Readiness is checked
 # every second, and clients stop sending after two failed checks.
@@ -111,6 +112,14 @@
         self._gossip = gossip.Gossip(
             settings, self._table, self._server, self._planner, self._log
         )
+        self._health_check = health_check.HealthCheck(
+            settings.server_address,
+            platform.headers,
+            self._server,
+            lambda: self._gossip.catalog,
+            self._log,
+        )
+        self._server.on_hold = self._health_check.request
         self._server.on_endpoint_change = self._gossip.publish_status
         self._server.on_departure = self._handle_departure
         self._server.on_suspects_change = self._gossip.publish_suspects
@@ -174,6 +183,9 @@
                 self._server.admission.slowdown.read_percent(clock.read_s())
                 / slowdown.USUAL_PERCENT
             ),
+            "server_held_back": lambda: float(
+                self._server.held_back is not None
+            ),
             "server_limit_per_second": lambda: (
                 NO_LIMIT
                 if self._server.admission.limit_per_s is None
@@ -260,6 +272,7 @@
             loop.create_task(self._gossip.run()),
             loop.create_task(self._feeder.run()),
             loop.create_task(self._departure_records.run()),
+            loop.create_task(self._health_check.run()),
         ]
 
     def stop(self) -> None:
--- a/src/lycheestair/sidecar/replica.py
+++ b/src/lycheestair/sidecar/replica.py
@@ -140,6 +140,7 @@
                 frames.FrameType.CONFIGURATION,
                 self.catalog.generation,
                 frames.compress(catalog_lib.encode_change(old, self.catalog)),
+                frames.compress(catalog_lib.encode_health_paths(self.catalog)),
             ]
         )
 
@@ -159,6 +160,7 @@
         member: members.Member,
         generation: ids.Generation,
         data: bytes,
+        health_paths: bytes | None = None,
     ) -> None:
         """Applies a change received from another node.
 
@@ -168,6 +170,8 @@
           member: The sender.
           generation: Generation that results from the change.
           data: The compressed change.
+          health_paths: The compressed paths of health checks, None if the sender
+            has sent none.
         """
         member.generation = max(member.generation, generation)
         if generation <= self.catalog.generation:
@@ -182,7 +186,12 @@
                 return
             old = previous
         try:
-            if self.activate(catalog_lib.apply_change(old, change)):
+            catalog = catalog_lib.apply_change(
+                old,
+                change,
+                () if health_paths is None else frames.decompress(health_paths),
+            )
+            if self.activate(catalog):
                 self._acknowledge_to_feeders()
                 if not self._cells.is_in_own_cell(member):
                     self.publish_in_cell()
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -34,12 +34,10 @@
 from lycheestair.sidecar.placement import slowdown
 from lycheestair.sidecar.places import cold_server
 from lycheestair.sidecar.places import local_place
+from lycheestair.sidecar.presence import restart_gate
 
 # Consecutive missed heartbeats after which the backend server counts as gone.
 MAX_MISSED_HEARTBEATS: Final = 4
-# Fraction of the interval between heartbeats after which the next one can't be
-# an earlier one that was delayed together with the first.
-MIN_HEARTBEAT_RATIO: Final = 0.5
 # Responses read from a connection to find the one to a call; those before it
 # belong to earlier requests.
 MAX_RESPONSES_READ: Final = 4
@@ -93,6 +91,9 @@
       departures: Departures that this node has acknowledged, also before a
         restart.
       on_departure: Called when a departure has been acknowledged.
+      held_back: Latest heartbeat of a backend server that may have left before a
+        restart of this node, None if none is held back.
+      on_hold: Called with each heartbeat of a server that is held back.
       suspects: Requests that crash backend servers.
       on_suspects_change: Called when this node has changed them.
       crashes: Crashes of the backend server while it ran requests.
@@ -123,6 +124,11 @@
         self.chain = chains.ChainAdmission()
         self.departures = departures_lib.Departures()
         self.on_departure: Callable[[], None] = lambda: None
+        self.held_back: backend.Announcement | None = None
+        self.on_hold: Callable[[], None] = lambda: None
+        self._restart_gate = restart_gate.RestartGate(
+            settings.heartbeat_interval_s, clock.read_s()
+        )
         self.suspects = suspects_lib.SuspectTable()
         self.on_suspects_change: Callable[[], None] = lambda: None
         self.crashes = 0
@@ -158,10 +164,6 @@
         self._deregistered_ms: dict[str, int] = {}
         # Departures acknowledged before a restart of this node.
         self._earlier_departures = departures_lib.Departures()
-        # Whether all of them are known.
-        self._are_departures_known = False
-        # Time of the first heartbeat that was held back until they are.
-        self._held_back_at: float | None = None
         self._pool = pool.ConnectionPool(settings.server_address)
         self._answer_memory = byte_budget.ByteBudget(
             int(settings.memory_bytes * ANSWER_MEMORY_RATIO)
@@ -212,7 +214,14 @@
         self._apply_earlier_limit()
         self._heartbeat_at = clock.read_s()
         self._apply_warmup(announcement)
-        if not self._must_hold_back(announcement, self._heartbeat_at):
+        if (
+            announcement.state is backend.BackendState.SERVING
+            and not self._restart_gate.observe_heartbeat(
+                incarnation, self._heartbeat_at
+            )
+        ):
+            self._hold_back(announcement)
+        else:
             self._apply_endpoint(announcement, "heartbeat")
         return True
 
@@ -224,37 +233,31 @@
         self.cold.tell_remaining(remaining_s, announcement.instance, now)
         self.admission.start_waiting()
 
-    def _must_hold_back(
-        self, announcement: backend.Announcement, now: float
-    ) -> bool:
-        """Returns whether a backend server may have left already.
+    def _hold_back(self, announcement: backend.Announcement) -> None:
+        """Keeps a backend server out of use until it is known to run.
 
-        An earlier process of this node may have acknowledged its departure, and
-        the heartbeat may be a delayed one from before. While it can't be known,
-        the next heartbeat at its time shows that the backend server has not
-        left.
+        An earlier process of this node may have acknowledged its departure where
+        nothing remembers it, and the heartbeat may be a delayed one from before.
         """
-        if (
-            self._are_departures_known
-            or announcement.state is not backend.BackendState.SERVING
-        ):
-            return False
-        if self._held_back_at is None:
-            self._held_back_at = now
+        if self.held_back is None:
             self._log.write(
                 "backend server held back", instance=announcement.instance
             )
-        if (
-            now - self._held_back_at
-            < self._settings.heartbeat_interval_s * MIN_HEARTBEAT_RATIO
+        self.held_back = announcement
+        self.on_hold()
+
+    def confirm_running(self, announcement: backend.Announcement) -> None:
+        """Uses a backend server that was held back and has not left."""
+        incarnation = (announcement.instance, announcement.started_ms)
+        if self.held_back is not None and self._restart_gate.observe_health(
+            incarnation
         ):
-            return True
-        self._are_departures_known = True
-        return False
+            self._apply_endpoint(self.held_back, "health check after a restart")
 
     def _apply_endpoint(
         self, announcement: backend.Announcement, reason: str
     ) -> None:
+        self.held_back = None
         self._set_endpoint(
             members.Endpoint(
                 announcement.instance,
@@ -266,20 +269,6 @@
             reason,
         )
 
-    def confirm_departures(self) -> None:
-        """Tells that all departures before a restart have been restored."""
-        self._are_departures_known = True
-        held_back, self._held_back_at = self._held_back_at, None
-        announced = self._latest_announcement
-        if (
-            held_back is None
-            or self.endpoint is not None
-            or announced is None
-            or self._has_departed(announced)
-        ):
-            return
-        self._apply_endpoint(announced, "not departed before the restart")
-
     def _has_departed(self, announcement: backend.Announcement) -> bool:
         """Returns whether the departure of a backend server is known."""
         return announcement.started_ms <= self._deregistered_ms.get(
@@ -288,6 +277,11 @@
             announcement.instance, announcement.started_ms
         )
 
+    def _release_if_departed(self) -> None:
+        """Ends the hold of a backend server that is known to have left."""
+        if self.held_back is not None and self._has_departed(self.held_back):
+            self.held_back = None
+
     def _add_departure(self, instance: str, started_ms: int) -> None:
         if self.departures.add(instance, started_ms):
             self.on_departure()
@@ -300,6 +294,7 @@
         """
         self._earlier_departures.update(fields)
         self.departures.update(fields)
+        self._release_if_departed()
         announced = self._latest_announcement
         if announced is not None and self._earlier_departures.contains(
             announced.instance, announced.started_ms
@@ -349,8 +344,9 @@
             self._losses.clear()
         # A backend server that starts later is another incarnation.
         departed_ms = started_ms or read_unix_ms()
-        self._add_departure(announcement.instance, departed_ms)
         self._deregistered_ms[announcement.instance] = departed_ms
+        self._release_if_departed()
+        self._add_departure(announcement.instance, departed_ms)
 
     def _set_endpoint(
         self, endpoint: members.Endpoint | None, reason: str
@@ -399,10 +395,8 @@
         self.place.note_alive(clock.read_s())
         self._update_cold()
         timeout_s = self._settings.heartbeat_interval_s * MAX_MISSED_HEARTBEATS
-        if (
-            self.endpoint is not None
-            and clock.read_s() - self._heartbeat_at > timeout_s
-        ):
+        if clock.read_s() - self._heartbeat_at > timeout_s:
+            self.held_back = None
             self._set_endpoint(None, "no heartbeat")
 
     def _update_cold(self) -> None:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -100,6 +100,11 @@
         if self.node is not None:
             self.node.stop()
 
+    async def announce_until_used(self):
+        """Sends a heartbeat and waits until the backend server is used."""
+        assert await self.backend_server.announce() == 200
+        await wait_for(lambda: self.node._server.endpoint is not None, 1.0)
+
     async def is_ready(self):
         response = await standins.send(
             self.ready, b"GET", b"/-/readiness", [(b"host", b"ready")]
