Write departures that other nodes remember to the store

What callers would see: a backend server that left while the store was away is used again after two restarts of its node, the second together with all other nodes, if its health check doesn't show that it leaves.

Cause: only the process that had acknowledged a departure repeated its write. One that learnt it from other nodes after a restart applied it and wrote nothing. Ruled out: that the restarted node doesn't learn it (it uses no such server until the second restart).

Change: departures that a node learns are written and told like its own, unless the known record has them already, so that a restart costs no further call.

Evidence: test_departure_that_other_nodes_remember_is_written_after_a_restart fails on ("was not true in time": no record) and passes now. The test that a restart writes nothing again fails without the comparison.

--- a/src/lycheestair/sidecar/departure_records.py
+++ b/src/lycheestair/sidecar/departure_records.py
@@ -115,10 +115,13 @@
 
     async def _write(self) -> None:
         for _ in range(MAX_CONFLICTS):
+            departures = self._server.departures.encode()
+            if self._known is not None and self._known.value == departures:
+                return
             result = await self._store.put(
                 self._kind,
                 self._node_id,
-                self._server.departures.encode(),
+                departures,
                 self._known.revision if self._known else None,
             )
             if not isinstance(result, store_lib.Conflict):
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -293,7 +293,9 @@
           ValueError: The fields are malformed.
         """
         self._earlier_departures.update(fields)
-        self.departures.update(fields)
+        if self.departures.update(fields):
+            # Other nodes or the store may lack some of them.
+            self.on_departure()
         self._release_if_departed()
         announced = self._latest_announcement
         if announced is not None and self._earlier_departures.contains(
--- a/tests/test_platform_departures.py
+++ b/tests/test_platform_departures.py
@@ -10,6 +10,7 @@
 import platform_world
 import pytest
 
+from lycheestair.platform import objects
 from lycheestair.sidecar import departure_records
 from lycheestair.sidecar import store as store_lib
 
@@ -168,6 +169,68 @@
     run_scenario(scenario)
 
 
+def test_departure_that_other_nodes_remember_is_written_after_a_restart():
+    """Guards against a departure that a second restart makes unknown.
+
+    The store was away while the node that had acknowledged it was running.
+    """
+
+    async def scenario():
+        async with platform_world.run(*CELLS) as world:
+            leaving, other, *_ = world.instances
+            world.store.faults.down = True
+            await depart(leaving, "draining")
+            await platform_world.wait_for(
+                lambda: other.node._table.find("n1").departures
+            )
+            kill([leaving])
+            world.store.faults.down = False
+            await start([leaving])
+            await platform_world.wait_for(
+                lambda: (KIND, "n1") in world.store.objects
+            )
+            kill(world.instances)
+            await start(world.instances)
+            # Its health check doesn't show that it leaves.
+            server = leaving.backend_server
+            server.health_status = 200
+            assert await server.announce() == 200
+            await other.announce_until_used()
+            await send_requests(world.instances)
+            assert not server.received_requests
+
+    run_scenario(scenario)
+
+
+def test_departures_that_the_store_has_are_not_written_again(monkeypatch):
+    """Guards against a call to the store for each restart of a node."""
+    written = []
+    put = objects.ObjectStore.put
+
+    def record_put(self, kind, name, value, revision):
+        written.append((kind, name))
+        return put(self, kind, name, value, revision)
+
+    monkeypatch.setattr(objects.ObjectStore, "put", record_put)
+
+    async def scenario():
+        async with platform_world.run(*CELLS) as world:
+            leaving = world.instances[0]
+            await depart(leaving, "deregistered")
+            for _ in range(2):
+                kill([leaving])
+                await start([leaving])
+                await platform_world.wait_for(
+                    lambda: leaving.node._server.departures
+                )
+                await leaving.node._departure_records.wait_until_written()
+                # Other nodes tell the same departures.
+                await asyncio.sleep(0.5)
+            assert written.count((KIND, "n1")) == 1
+
+    run_scenario(scenario)
+
+
 def test_server_without_a_health_check_is_held_back_until_heartbeats_are_fresh():
     """Guards against delayed heartbeats where nothing else tells a departure.
 
