Ignore delayed heartbeats of servers that have left a product node

What callers would see: a backend server that has left with DELETE /endpoint gets requests again for up to 5 s, because a heartbeat that it had sent before is processed afterwards. Those that run when it exits are lost.

Cause: the node remembered no departure, and an announcement had nothing that tells two processes at one address apart.

Change: an announcement may have started_ms. A node remembers the latest starts that have left, ignores their heartbeats, and doesn't withdraw a later process for a delayed DELETE of an earlier one. departures.py serves both request paths and moves out of the sidecar. The stand-in tells its start.

--- a/src/lycheestair/data_plane.py
+++ b/src/lycheestair/data_plane.py
@@ -56,6 +56,9 @@
 # thread added 1 ms to a tenth of the requests.
 SWITCH_INTERVAL_S: Final = 0.0001
 
+# Unix time in milliseconds, far enough in the future.
+MAX_STARTED_MS: Final = 2**53
+
 MetricsHandler = Callable[[], tuple[str, bytes]]
 
 
@@ -63,12 +66,13 @@
     config=pydantic.ConfigDict(extra="forbid", frozen=True)
 )
 class _Announcement:
-    """Body of PUT /endpoint."""
+    """Body of PUT and DELETE /endpoint."""
 
     service: str
     version: str
     address: str
     slots: int = pydantic.Field(gt=0, le=10_000)
+    started_ms: int = pydantic.Field(default=0, ge=0, le=MAX_STARTED_MS)
 
 
 _ANNOUNCEMENT_ADAPTER: Final = pydantic.TypeAdapter(_Announcement)
@@ -297,33 +301,53 @@
         if request.path == "/endpoint" and request.method == "PUT":
             return self._announce_endpoint(request)
         if request.path == "/endpoint" and request.method == "DELETE":
-            timeout_s = self._settings.requests.drain_timeout_s
-            completed = self._serving_node.withdraw(timeout_s)
-            return _encode_json({"idle": completed})
+            return self._withdraw_endpoint(request)
         return error_responses.encode(errors.Failure(errors.ErrorKind.NO_ROUTE))
 
     def _announce_endpoint(
         self, request: messages.Request
     ) -> messages.Response:
         try:
-            announcement = _ANNOUNCEMENT_ADAPTER.validate_json(request.body)
-            host, _, port = announcement.address.rpartition(":")
-            ipaddress.ip_address(host.strip("[]"))
-            if not 0 < int(port) < 65_536:
-                raise ValueError(f"port {port!r}")
-        except ValueError as error:  # Includes pydantic's ValidationError.
+            server = _decode_server(request.body)
+        except ValueError as error:
             return error_responses.encode(
                 errors.Failure(errors.ErrorKind.BAD_REQUEST, str(error))
             )
-        self._serving_node.announce(
-            serving.BackendServer(
-                ids.ServiceName(announcement.service),
-                ids.VersionName(announcement.version),
-                ids.Address(announcement.address),
-                announcement.slots,
-            )
+        is_current = self._serving_node.announce(server)
+        return _encode_json({} if is_current else {"departed": True})
+
+    def _withdraw_endpoint(
+        self, request: messages.Request
+    ) -> messages.Response:
+        try:
+            server = _decode_server(request.body)
+        except ValueError:
+            # The body is optional.
+            server = None
+        completed = self._serving_node.depart(
+            server, self._settings.requests.drain_timeout_s
         )
-        return _encode_json({})
+        return _encode_json({"idle": completed})
+
+
+def _decode_server(body: bytes | bytearray) -> serving.BackendServer:
+    """Decodes the body of an announcement.
+
+    Raises:
+      ValueError: The body is malformed. Includes pydantic's ValidationError.
+    """
+    announcement = _ANNOUNCEMENT_ADAPTER.validate_json(body)
+    host, _, port = announcement.address.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    if not 0 < int(port) < 65_536:
+        raise ValueError(f"port {port!r}")
+    return serving.BackendServer(
+        ids.ServiceName(announcement.service),
+        ids.VersionName(announcement.version),
+        ids.Address(announcement.address),
+        announcement.slots,
+        announcement.started_ms,
+    )
 
 
 def _encode_json(document: object) -> messages.Response:
--- a/src/lycheestair/sidecar/departures.py
+++ b/src/lycheestair/departures.py
@@ -1,8 +1,8 @@
 """Backend servers whose departure a node has acknowledged.
 
-After a restart of the node, a delayed heartbeat must not bring a departed server
-into use again. The store keeps the departures (`departure_records`), and other nodes
-remember them for the node in case the store is unavailable.
+A delayed heartbeat must not bring a departed server into use again. For sidecar
+nodes, the store keeps the departures over a restart (`sidecar.departure_records`),
+and other nodes remember them in case the store is unavailable.
 """
 
 from typing import Any
--- a/src/lycheestair/serving.py
+++ b/src/lycheestair/serving.py
@@ -10,6 +10,7 @@
 
 from lycheestair import admission as admission_lib
 from lycheestair import calls
+from lycheestair import departures
 from lycheestair import error_responses
 from lycheestair import errors
 from lycheestair import forwarding
@@ -46,12 +47,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class BackendServer:
-    """Announced properties of the backend server."""
+    """Announced properties of the backend server.
+
+    Attributes:
+      started_ms: Unix time in milliseconds at which its process started, 0 if it
+        doesn't tell.
+    """
 
     service: ids.ServiceName
     version: ids.VersionName
     address: ids.Address
     slots: int
+    started_ms: int = 0
 
 
 class ServingNode:
@@ -77,18 +84,29 @@
         self._started_at = 0.0
         self._last_heartbeat_at = 0.0
         self._leaving = False
+        # Processes that have left, by address.
+        self._departures = departures.Departures()
         # Calls that may have reached the backend server, by object id.
         self._sent_calls: dict[int, calls.Call] = {}
         self._lost_calls: collections.deque[tuple[float, calls.Call]] = (
             collections.deque(maxlen=MAX_LOST_CALLS)
         )
 
-    def announce(self, server: BackendServer) -> None:
-        """Processes an announcement or heartbeat of the backend server."""
+    def announce(self, server: BackendServer) -> bool:
+        """Processes an announcement or heartbeat of the backend server.
+
+        Returns:
+          False if it was ignored because its process has left.
+        """
         with self._lock:
+            if self._departures.contains(server.address, server.started_ms):
+                logging.info(
+                    "delayed heartbeat of a backend server that has left ignored"
+                )
+                return False
             self._last_heartbeat_at = time.monotonic()
             if server == self._server or self._leaving:
-                return
+                return True
             self._server = server
             # They belong to a crash of the previous process.
             self._lost_calls.clear()
@@ -96,6 +114,32 @@
             self.admission.open(server.slots)
             self.admission.start_trial()
             self._publish(members.EndpointState.SERVING)
+            return True
+
+    def depart(self, server: BackendServer | None, timeout_s: float) -> bool:
+        """Withdraws the backend server because it is about to exit.
+
+        Args:
+          server: The backend server as it describes itself, None if it doesn't.
+          timeout_s: Time in seconds to wait for admitted calls.
+
+        Returns:
+          Whether all admitted calls finished within the timeout.
+        """
+        with self._lock:
+            current = self._server
+            if server is not None and server.started_ms:
+                self._departures.add(server.address, server.started_ms)
+                if (
+                    current is not None
+                    and current.address == server.address
+                    and current.started_ms > server.started_ms
+                ):
+                    # The next process has been announced already.
+                    return True
+            elif current is not None and current.started_ms:
+                self._departures.add(current.address, current.started_ms)
+        return self.withdraw(timeout_s)
 
     def withdraw(self, timeout_s: float) -> bool:
         """Stops admitting calls and waits for the admitted ones to finish.
--- a/src/lycheestair/sidecar/gossip.py
+++ b/src/lycheestair/sidecar/gossip.py
@@ -9,12 +9,12 @@
 from typing import Any
 from typing import Final
 
+from lycheestair import departures as departures_lib
 from lycheestair import ids
 from lycheestair import server_limits
 from lycheestair.sidecar import catalog as catalog_lib
 from lycheestair.sidecar import cells as cells_lib
 from lycheestair.sidecar import clock
-from lycheestair.sidecar import departures as departures_lib
 from lycheestair.sidecar import digests as digests_lib
 from lycheestair.sidecar import event_log
 from lycheestair.sidecar import frames
--- a/src/lycheestair/sidecar/members.py
+++ b/src/lycheestair/sidecar/members.py
@@ -7,11 +7,11 @@
 from typing import Any
 from typing import Final
 
+from lycheestair import departures as departures_lib
 from lycheestair import ids
 from lycheestair import server_limits
 from lycheestair.sidecar import backend
 from lycheestair.sidecar import clock
-from lycheestair.sidecar import departures as departures_lib
 from lycheestair.sidecar import latencies as latencies_lib
 from lycheestair.sidecar import revisions
 
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -8,6 +8,7 @@
 from typing import Any
 from typing import Final
 
+from lycheestair import departures as departures_lib
 from lycheestair import errors
 from lycheestair import ids
 from lycheestair import messages
@@ -19,7 +20,6 @@
 from lycheestair.sidecar import calls
 from lycheestair.sidecar import clock
 from lycheestair.sidecar import deadlines
-from lycheestair.sidecar import departures as departures_lib
 from lycheestair.sidecar import dependencies
 from lycheestair.sidecar import event_log
 from lycheestair.sidecar import http1
--- a/src/lycheestair_standins/backend.py
+++ b/src/lycheestair_standins/backend.py
@@ -86,6 +86,7 @@
             "version": version,
             "address": address,
             "slots": slots,
+            "started_ms": int(time.time() * 1000),
         }
         self.address = address
         self.node = node
