--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -399,6 +399,16 @@
 
     async def announce(self, **changes):
         """Sends a heartbeat; returns the status of the response."""
+        return await self.send_heartbeat(
+            self.instance, self.encode_heartbeat(**changes)
+        )
+
+    async def send_heartbeat(self, instance, body):
+        """Sends an encoded heartbeat, perhaps a delayed one."""
+        return await self._call("instances.heartbeat", body, instance)
+
+    def encode_heartbeat(self, **changes):
+        """Returns the body of the next heartbeat."""
         self._sequence += 1
         body = {
             "address": self.address,
@@ -416,17 +426,17 @@
             },
         }
         body.update(changes)
-        return await self._call("instances.heartbeat", orjson.dumps(body))
+        return orjson.dumps(body)
 
     async def deregister(self, body=b""):
         self._deregistered_ms = self.started_ms
-        return await self._call("instances.deregister", body)
+        return await self._call("instances.deregister", body, self.instance)
 
-    async def _call(self, name, body):
+    async def _call(self, name, body, instance):
         response = await send(
             self.control,
             b"POST",
-            f"/-/rpc?call={name}&of={self.instance}".encode(),
+            f"/-/rpc?call={name}&of={instance}".encode(),
             [(b"host", b"control")],
             body,
         )
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -282,15 +282,25 @@
             await asyncio.sleep(pause_s)
 
     async def replace_backend_server(self):
-        """Drains the backend server, then starts a new one in its place."""
+        """Drains the backend server, then starts a new one in its place.
+
+        A heartbeat from before arrives meanwhile or later.
+        """
         backend_server = self.backend_server
+        delayed = asyncio.create_task(
+            self._send_delayed_heartbeat(
+                backend_server.instance,
+                backend_server.encode_heartbeat(),
+                self.soak.departure_rng.uniform(0.0, 8.0),
+            )
+        )
         backend_server.state = "draining"
         backend_server.extra_headers = []
         with contextlib.suppress(OSError, messages.IncompleteMessageError):
             async with asyncio.timeout(1.0):
                 if await backend_server.announce() == 200:
                     backend_server.draining_since = time.monotonic()
-        await asyncio.sleep(DRAIN_S + 0.5)
+        await asyncio.sleep(DRAIN_S + self.soak.departure_rng.uniform(0.5, 4.0))
         with contextlib.suppress(OSError, messages.IncompleteMessageError):
             async with asyncio.timeout(1.0):
                 await backend_server.deregister()
@@ -298,6 +308,13 @@
         backend_server.started_ms = int(time.time() * 1000)
         backend_server.draining_since = float("inf")
         backend_server.state = "ready"
+        await delayed
+
+    async def _send_delayed_heartbeat(self, instance, body, delay_s):
+        await asyncio.sleep(delay_s)
+        with contextlib.suppress(OSError, messages.IncompleteMessageError):
+            async with asyncio.timeout(1.0):
+                await self.backend_server.send_heartbeat(instance, body)
 
     def read_usage(self):
         """Returns the resident memory in MB and the open file descriptors."""
@@ -315,6 +332,7 @@
         # Draws of its own, so that seeds keep their other faults.
         self.limit_rng = random.Random(f"limits {seed}")
         self.limited_times = []
+        self.departure_rng = random.Random(f"departures {seed}")
         self.crash_rng = random.Random(f"crashes {seed}")
         # By the service of the entry node.
         self.crashing_requests = {
