Take a server's limit from the health check after a restart of its node

What callers would see: a backend server in need gets up to as many requests as it has slots, right after a restart of its node, if no other node has seen its limit.

Cause: the limit was known to processes only, as departures were; all of them may end together. The server itself knows it, and now answers a health check before it is used.

Change: the response that releases a held-back server also sets its limit.

Evidence: test_limit_that_no_other_node_knows_is_in_force_after_a_restart fails on (no limit after the restart) and passes now; all tests of limits pass.

--- a/src/lycheestair/sidecar/presence/health_check.py
+++ b/src/lycheestair/sidecar/presence/health_check.py
@@ -33,7 +33,9 @@
     def held_back(self) -> backend.Announcement | None:
         """Latest heartbeat of a backend server that is held back."""
 
-    def confirm_running(self, announcement: backend.Announcement) -> None:
+    def confirm_running(
+        self, announcement: backend.Announcement, response: http1.Response
+    ) -> None:
         """Tells that the sender of a heartbeat has passed its health check."""
 
 
@@ -92,15 +94,17 @@
             limits = catalog.services.get(announcement.service)
             if limits is None or not limits.health_path:
                 return
-            if await self._is_serving(announcement, limits.health_path):
-                self._server.confirm_running(announcement)
+            response = await self._check(announcement, limits.health_path)
+            if response is not None:
+                self._server.confirm_running(announcement, response)
                 return
             await asyncio.sleep(delay_s)
             delay_s = min(MAX_RETRY_DELAY_S, 2 * delay_s)
 
-    async def _is_serving(
+    async def _check(
         self, announcement: backend.Announcement, path: str
-    ) -> bool:
+    ) -> http1.Response | None:
+        """Returns the response of a server that serves, else None."""
         try:
             response = await self._exchange(path)
         except (
@@ -110,7 +114,7 @@
             messages.MalformedMessageError,
         ) as error:
             self._log.write("health check failed", error=repr(error))
-            return False
+            return None
         instance = response.find_header(self._headers.responder)
         if (
             response.status == SUCCESS_STATUS
@@ -118,13 +122,13 @@
             and response.find_header(self._headers.not_executed) is None
             and response.find_header(self._headers.leaving) is None
         ):
-            return True
+            return response
         self._log.write(
             "health check failed",
             status=response.status,
             instance=instance and instance.decode("latin-1"),
         )
-        return False
+        return None
 
     async def _exchange(self, path: str) -> http1.Response:
         """Sends a health check and returns the response.
--- a/src/lycheestair/sidecar/serving.py
+++ b/src/lycheestair/sidecar/serving.py
@@ -246,13 +246,22 @@
         self.held_back = announcement
         self.on_hold()
 
-    def confirm_running(self, announcement: backend.Announcement) -> None:
-        """Uses a backend server that was held back and has not left."""
+    def confirm_running(
+        self, announcement: backend.Announcement, response: http1.Response
+    ) -> None:
+        """Uses a backend server that was held back and has not left.
+
+        Its response to the health check may name the limit that the node has
+        forgotten.
+        """
         incarnation = (announcement.instance, announcement.started_ms)
-        if self.held_back is not None and self._restart_gate.observe_health(
+        if self.held_back is None or not self._restart_gate.observe_health(
             incarnation
         ):
-            self._apply_endpoint(self.held_back, "health check after a restart")
+            return
+        self._apply_endpoint(self.held_back, "health check after a restart")
+        if self.endpoint is not None:
+            self._apply_limit(response, self.endpoint)
 
     def _apply_endpoint(
         self, announcement: backend.Announcement, reason: str
--- a/tests/test_platform_presence.py
+++ b/tests/test_platform_presence.py
@@ -87,7 +87,8 @@
         )
         self.confirmed = []
 
-    def confirm_running(self, announcement):
+    def confirm_running(self, announcement, response):
+        assert response.status == 200
         self.confirmed.append(announcement.instance)
         self.held_back = None
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -178,6 +178,29 @@
     run_scenario(scenario)
 
 
+def test_limit_that_no_other_node_knows_is_in_force_after_a_restart():
+    """Guards against requests in excess where only the server knows its limit."""
+
+    async def scenario():
+        async with platform_world.run(("n1", "desk")) as world:
+            limited = world.instances[0]
+            name_limit(limited)
+            await request_once(limited, limited)
+            assert read_limit(limited) == 5
+            limited.node.stop()
+            await asyncio.sleep(0.1)
+            await limited.start_node()
+            await limited.announce_until_used()
+            assert read_limit(limited) == 5
+            assert len(list_arrivals(limited)) == 1
+            # Its responses end it.
+            limited.backend_server.extra_headers = []
+            await request_once(limited, limited)
+            assert read_limit(limited) is None
+
+    run_scenario(scenario)
+
+
 def test_limit_changes_and_ends_with_the_responses_that_name_it():
     """Guards against a limit that stays, or that a malformed value ends."""
 
